--- a/lab/src/codegen.rs
+++ b/lab/src/codegen.rs
@@ -83,21 +83,14 @@
     }
     cfg.with_patch("AttemptId", &key);
     let mut space = TypeSpace::new(&cfg);
-    let refuse = |reason: typify::Error| CodegenError::Generator {
-        name,
-        reason: reason.to_string(),
-    };
+    let refuse =
+        |reason: typify::Error| CodegenError::Generator { name, reason: reason.to_string() };
     space.add_ref_types(schema.definitions).map_err(refuse)?;
-    let file = syn::parse2(space.to_stream()).map_err(|e| CodegenError::Generator {
-        name,
-        reason: e.to_string(),
-    })?;
+    let file = syn::parse2(space.to_stream())
+        .map_err(|e| CodegenError::Generator { name, reason: e.to_string() })?;
     Ok(format!("{HEADER}{}", prettyplease::unparse(&file)))
 }
 
 fn read(path: &Path) -> Result<String, CodegenError> {
-    fs::read_to_string(path).map_err(|source| CodegenError::File {
-        path: path.to_owned(),
-        source,
-    })
+    fs::read_to_string(path).map_err(|source| CodegenError::File { path: path.to_owned(), source })
 }
--- /dev/null
+++ b/lab/src/demo.rs
@@ -0,0 +1,158 @@
+//! The demonstration: two regions, two services, six upstreams, ten seconds of load, two faults.
+
+use {
+    crate::{
+        fleet::{Fleet, FleetError, MemberSpec},
+        load::{self, LoadResult, LoadSpec, Told},
+        report::{Check, Report},
+        stand_in::UpstreamBehaviour,
+    },
+    hyper::Method,
+    serde_json::{Value, json},
+    std::{
+        collections::HashMap,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// Time for which requests are sent.
+const DURATION: Duration = Duration::from_secs(10);
+
+/// Lookups a second.
+const LOOKUP_RATE: u32 = 400;
+
+/// Orders a second.
+const ORDER_RATE: u32 = 100;
+
+/// Longest graceful stop.
+const STOP_LIMIT: Duration = Duration::from_secs(20);
+
+/// Members of the demonstration's fleet.
+pub fn members() -> Vec<MemberSpec> {
+    let places =
+        [("svealand", "svealand-1"), ("svealand", "svealand-2"), ("gotaland", "gotaland-1")];
+    let services = [("sizing", 10), ("orders", 15)];
+    services
+        .iter()
+        .flat_map(|&(service, mean_ms)| {
+            places.iter().map(move |&(region, zone)| MemberSpec {
+                region,
+                zone,
+                behaviour: UpstreamBehaviour {
+                    service: Arc::from(service),
+                    slots: 13,
+                    mean: Duration::from_millis(mean_ms),
+                    cold: Duration::ZERO,
+                },
+            })
+        })
+        .collect()
+}
+
+/// Settings of the demonstration's fleet.
+pub fn settings() -> Vec<(&'static str, Value)> {
+    let root = json!({
+        "teams": { "shop": { "services": ["sizing", "orders"] } },
+        "regions": { "svealand": {}, "gotaland": {} },
+    });
+    let shop = json!({
+        "services": {
+            "sizing": { "timeout_ms": 2000, "rules": [{ "method": "GET", "kind": "idempotent" }] },
+            "orders": { "timeout_ms": 3000, "rules": [{ "method": "POST", "kind": "non_idempotent" }] },
+        },
+    });
+    vec![("root", root), ("shop", shop)]
+}
+
+/// Runs the demonstration.
+///
+/// # Errors
+/// Fails when the fleet does not come up.
+pub async fn run(seed: u64) -> Result<Report, FleetError> {
+    let mut fleet = Fleet::start(members(), &settings()).await?;
+    let entries = fleet.entries();
+    let lookups = tokio::spawn(load::run(
+        spec("sizing", Method::GET, LOOKUP_RATE),
+        Arc::clone(&entries),
+        seed,
+    ));
+    let orders = tokio::spawn(load::run(
+        spec("orders", Method::POST, ORDER_RATE),
+        Arc::clone(&entries),
+        seed,
+    ));
+    sleep(DURATION / 3).await;
+    let stopped_whole = fleet.stop_node(3, &entries, STOP_LIMIT).await;
+    sleep(DURATION / 6).await;
+    fleet.members[1].upstream.failing.store(true, Ordering::Relaxed);
+    let (Ok(lookups), Ok(orders)) = (lookups.await, orders.await) else {
+        return Err(FleetError::NotReady("load did not end".to_owned()));
+    };
+    let runs = fleet.runs();
+    let mut report = Report::new("demo", seed);
+    stream(&mut report, "lookups", &lookups);
+    stream(&mut report, "orders", &orders);
+    promises(&mut report, &[&lookups, &orders], &orders, &runs, stopped_whole);
+    for name in [
+        "attempts",
+        "refused",
+        "hedges",
+        "hedges_won",
+        "retries",
+        "lost",
+        "probes",
+        "ejections",
+        "settled",
+        "remote_packet_bytes_sent",
+        "packet_bytes_sent",
+        "malformed",
+    ] {
+        report.figure(name, json!(fleet.counter(name).await?));
+    }
+    report.figure("platform", json!(fleet.platform.counts()));
+    fleet.stop.cancel();
+    Ok(report)
+}
+
+fn spec(service: &str, method: Method, rate: u32) -> LoadSpec {
+    let (service, path) = (Arc::from(service), Arc::from("/"));
+    LoadSpec { service, method, path, rate, duration: DURATION }
+}
+
+/// Adds counts and latencies of one stream.
+pub fn stream(report: &mut Report, name: &str, result: &LoadResult) {
+    report.figure(name, json!(result.counts));
+    let quantiles = json!({
+        "p50_ms": result.quantile_ms(0.5),
+        "p99_ms": result.quantile_ms(0.99),
+        "p999_ms": result.quantile_ms(0.999),
+    });
+    report.figure(&format!("{name}_latency"), quantiles);
+}
+
+/// Adds the checks of the promises that hold in every run.
+pub fn promises(
+    report: &mut Report,
+    all: &[&LoadResult],
+    orders: &LoadResult,
+    runs: &HashMap<String, u32>,
+    stopped_whole: bool,
+) {
+    let sum = |f: fn(&LoadResult) -> u64| all.iter().map(|r| f(r)).sum::<u64>();
+    let doubled = orders.told.iter().filter(|(id, _)| runs.get(id).is_some_and(|&n| n > 1)).count();
+    let false_not_run = all
+        .iter()
+        .flat_map(|r| &r.told)
+        .filter(|(id, told)| *told == Told::NotRun && runs.contains_key(id))
+        .count();
+    report.check(Check::at_most("doubled orders", 0.0, doubled as f64));
+    report.check(Check::at_most("false not run", 0.0, false_not_run as f64));
+    report.check(Check::at_most("foreign answers", 0.0, sum(|r| r.counts.foreign) as f64));
+    report.check(Check::at_most("requests cut", 0.0, sum(|r| r.counts.cut) as f64));
+    report.check(Check::at_most("requests unknown", 0.0, sum(|r| r.counts.unknown) as f64));
+    report.check(Check::at_least("stop was whole", 1.0, f64::from(u8::from(stopped_whole))));
+    let violations = pistachiolane::invariants::violations();
+    report.check(Check::at_most("invariants violated", 0.0, violations as f64));
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins, load and experiments for pistachiolane. Never shipped.
+
+pub mod codegen;
+pub mod demo;
+pub mod fleet;
+pub mod http;
+pub mod load;
+pub mod report;
+pub mod stand_in;
--- /dev/null
+++ b/lab/src/report.rs
@@ -0,0 +1,100 @@
+//! What an experiment found: figures, and checks against bounds.
+
+use {
+    serde::Serialize,
+    serde_json::{Map, Value, json},
+};
+
+/// One figure against its bound.
+#[derive(Clone, Debug, Serialize)]
+pub struct Check {
+    /// What is checked.
+    pub name: String,
+    /// Bound, from the stated target.
+    pub bound: f64,
+    /// Figure measured.
+    pub figure: f64,
+    /// Whether the bound holds.
+    pub held: bool,
+}
+
+impl Check {
+    /// A figure that must not exceed its bound.
+    pub fn at_most(name: impl Into<String>, bound: f64, figure: f64) -> Self {
+        Self { name: name.into(), bound, figure, held: figure <= bound }
+    }
+
+    /// A figure that must reach its bound.
+    pub fn at_least(name: impl Into<String>, bound: f64, figure: f64) -> Self {
+        Self { name: name.into(), bound, figure, held: figure >= bound }
+    }
+}
+
+/// Result of one experiment.
+#[derive(Clone, Debug)]
+pub struct Report {
+    name: String,
+    seed: u64,
+    figures: Map<String, Value>,
+    checks: Vec<Check>,
+}
+
+impl Report {
+    /// An empty report.
+    pub fn new(name: &str, seed: u64) -> Self {
+        Self { name: name.to_owned(), seed, figures: Map::new(), checks: Vec::new() }
+    }
+
+    /// Adds a figure.
+    pub fn figure(&mut self, name: &str, value: Value) {
+        self.figures.insert(name.to_owned(), value);
+    }
+
+    /// Adds a check.
+    pub fn check(&mut self, check: Check) {
+        self.checks.push(check);
+    }
+
+    /// Whether every check holds.
+    pub fn held(&self) -> bool {
+        self.checks.iter().all(|c| c.held)
+    }
+
+    /// The report as one JSON object.
+    pub fn json(&self) -> Value {
+        json!({
+            "experiment": self.name,
+            "seed": self.seed,
+            "held": self.held(),
+            "figures": self.figures,
+            "checks": self.checks,
+        })
+    }
+
+    /// The report as a table.
+    pub fn table(&self) -> String {
+        let mut lines = vec![format!("{} (seed {})", self.name, self.seed)];
+        for (name, value) in &self.figures {
+            lines.push(format!("  {name:<28} {}", line(value)));
+        }
+        for check in &self.checks {
+            let verdict = if check.held { "held  " } else { "MISSED" };
+            let Check { name, bound, figure, .. } = check;
+            lines.push(format!("  {verdict} {name:<42} figure {figure:<10.4} bound {bound}"));
+        }
+        lines.join("\n")
+    }
+}
+
+fn line(value: &Value) -> String {
+    match value {
+        Value::Object(map) => {
+            map.iter().map(|(k, v)| format!("{k} {}", line(v))).collect::<Vec<_>>().join("  ")
+        }
+        Value::Number(n) => match n.as_f64() {
+            Some(f) if n.is_f64() => format!("{f:.3}"),
+            _ => n.to_string(),
+        },
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/lab/src/stand_in/http_server.rs
@@ -0,0 +1,44 @@
+//! A small HTTP server around a handler.
+
+use {
+    http_body_util::combinators::UnsyncBoxBody,
+    hyper::{Request, Response, body::Incoming, service::service_fn},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo},
+        server::conn::auto,
+    },
+    std::convert::Infallible,
+    tokio::net::TcpListener,
+    tokio_util::sync::CancellationToken,
+};
+
+/// Body of a stand-in's answer.
+pub type Body = UnsyncBoxBody<bytes::Bytes, std::io::Error>;
+
+/// Serves connections until `stop` is cancelled; those open then are cut.
+pub async fn serve<F, Fut>(listener: TcpListener, stop: CancellationToken, handler: F)
+where
+    F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
+    Fut: Future<Output = Response<Body>> + Send + 'static,
+{
+    loop {
+        let socket = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => return,
+        };
+        let Ok((socket, _)) = socket else { continue };
+        let _no_effect = socket.set_nodelay(true);
+        let (handler, stop) = (handler.clone(), stop.clone());
+        tokio::spawn(async move {
+            let service = service_fn(move |req| {
+                let answer = handler(req);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let http = auto::Builder::new(TokioExecutor::new());
+            tokio::select! {
+                _ended = http.serve_connection(TokioIo::new(socket), service) => {}
+                () = stop.cancelled() => {}
+            }
+        });
+    }
+}
--- /dev/null
+++ b/lab/src/stand_in/upstream.rs
@@ -0,0 +1,203 @@
+//! An upstream: slots, service times, and the ways in which it goes wrong.
+
+use {
+    super::http_server::{Body, serve},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, StreamBody},
+    hyper::{Method, Request, Response, StatusCode, body::Frame, body::Incoming},
+    rand::RngExt,
+    serde_json::json,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::Semaphore,
+        time::{interval, sleep},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Header that names a request of the load tool; the answer carries it back.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Time between two announcements.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Pause between the parts of a long download.
+const PART_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bytes of one part of a long download.
+const PART_BYTES: usize = 4_096;
+
+/// How an upstream behaves.
+#[derive(Clone, Debug)]
+pub struct UpstreamBehaviour {
+    /// Service that it runs.
+    pub service: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u16,
+    /// Mean of the exponential service time.
+    pub mean: Duration,
+    /// Time after the start during which requests take ten times as long.
+    pub cold: Duration,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct UpstreamStandIn {
+    behaviour: UpstreamBehaviour,
+    address: Mutex<Option<SocketAddr>>,
+    started: tokio::time::Instant,
+    slots: Semaphore,
+    runs: Mutex<HashMap<String, u32>>,
+    /// Whether it answers with an error at once.
+    pub failing: AtomicBool,
+    /// Whether it asks for no new work.
+    pub draining: AtomicBool,
+    /// Factor on the service time, in percent.
+    pub slowness_percent: AtomicU64,
+}
+
+impl UpstreamStandIn {
+    /// An upstream that has not started.
+    pub fn new(behaviour: UpstreamBehaviour) -> Arc<Self> {
+        let slots = Semaphore::new(usize::from(behaviour.slots));
+        Arc::new(Self {
+            behaviour,
+            address: Mutex::default(),
+            started: tokio::time::Instant::now(),
+            slots,
+            runs: Mutex::default(),
+            failing: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            slowness_percent: AtomicU64::new(100),
+        })
+    }
+
+    /// Serves requests and announces itself to the node at an admin address.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be bound.
+    pub async fn start(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        node: SocketAddr,
+        stop: CancellationToken,
+    ) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        *self.address.lock().unwrap_or_else(PoisonError::into_inner) = Some(address);
+        let upstream = Arc::clone(self);
+        tokio::spawn(serve(listener, stop.clone(), move |req| {
+            let upstream = Arc::clone(&upstream);
+            async move { upstream.answer(req).await }
+        }));
+        tokio::spawn(Arc::clone(self).announce(address, node, stop));
+        Ok(address)
+    }
+
+    /// Times that each request was run, by its identity.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    async fn announce(
+        self: Arc<Self>,
+        address: SocketAddr,
+        node: SocketAddr,
+        stop: CancellationToken,
+    ) {
+        let mut timer = interval(ANNOUNCE_PERIOD);
+        let http = crate::http::HttpClient::new();
+        loop {
+            tokio::select! {
+                _tick = timer.tick() => {}
+                () = stop.cancelled() => return,
+            }
+            let body = json!({
+                "service": self.behaviour.service,
+                "address": address,
+                "slots": self.behaviour.slots,
+                "connections": 260,
+                "draining": self.draining.load(Ordering::Relaxed),
+            });
+            // A node that is not there yet hears the next one.
+            let _lost = http.post_json(&format!("http://{node}/announce"), &body).await;
+        }
+    }
+
+    async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        match (req.method(), req.uri().path()) {
+            (&Method::POST, "/lab/fail") => self.switch(&self.failing),
+            (&Method::POST, "/lab/drain") => self.switch(&self.draining),
+            (&Method::GET, "/lab/runs") => text(StatusCode::OK, json!(self.runs()).to_string()),
+            _ => self.work(req).await,
+        }
+    }
+
+    fn switch(&self, fault: &AtomicBool) -> Response<Body> {
+        fault.store(true, Ordering::Relaxed);
+        text(StatusCode::OK, self.behaviour.service.to_string())
+    }
+
+    async fn work(self: &Arc<Self>, req: Request<Incoming>) -> Response<Body> {
+        if self.failing.load(Ordering::Relaxed) {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "failing".into());
+        }
+        let id =
+            req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+        let Ok(_slot) = self.slots.acquire().await else {
+            return text(StatusCode::SERVICE_UNAVAILABLE, "closed".into());
+        };
+        let long = req.uri().path() == "/long";
+        *self.runs.lock().unwrap_or_else(PoisonError::into_inner).entry(id.clone()).or_default() +=
+            1;
+        let Ok(_body) = req.into_body().collect().await else {
+            return text(StatusCode::BAD_REQUEST, "body lost".into());
+        };
+        sleep(self.service_time()).await;
+        if long { download(&id) } else { named(&id, text(StatusCode::OK, format!("answer {id}"))) }
+    }
+
+    fn service_time(&self) -> Duration {
+        let uniform: f64 = rand::rng().random_range(f64::EPSILON..1.0);
+        let cold = if self.started.elapsed() < self.behaviour.cold { 10.0 } else { 1.0 };
+        let slow = self.slowness_percent.load(Ordering::Relaxed) as f64 / 100.0;
+        self.behaviour.mean.mul_f64(-uniform.ln() * cold * slow)
+    }
+}
+
+/// A download of a few seconds that ends with the request's identity.
+fn download(id: &str) -> Response<Body> {
+    let parts = futures::stream::unfold((0_u32, id.to_owned()), |(part, id)| async move {
+        let bytes = match part {
+            0..100 => Bytes::from(vec![b'.'; PART_BYTES]),
+            100 => Bytes::from(format!("answer {id}")),
+            _ => return None,
+        };
+        sleep(PART_PAUSE).await;
+        Some((Ok(Frame::data(bytes)), (part + 1, id)))
+    });
+    named(id, Response::new(StreamBody::new(parts).boxed_unsync()))
+}
+
+fn named(id: &str, mut res: Response<Body>) -> Response<Body> {
+    if let Ok(value) = id.parse() {
+        res.headers_mut().insert(REQUEST_ID, value);
+    }
+    res
+}
+
+fn text(code: StatusCode, text: String) -> Response<Body> {
+    let body = Full::new(Bytes::from(text)).map_err(|never| match never {}).boxed_unsync();
+    let mut res = Response::new(body);
+    *res.status_mut() = code;
+    res
+}
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -53,6 +53,8 @@
         pub retry_percent: u32,
         /// Whether hedges are allowed.
         pub hedge: bool,
+        /// Whether the request's body can be sent again; if not, there is one attempt.
+        pub replayable: bool,
     }
 }
 
@@ -97,6 +99,18 @@
     CallerLeft,
 }
 
+value! {
+    /// Why an attempt is sent.
+    pub enum AttemptCause {
+        /// Nothing of the call has run.
+        First,
+        /// An earlier attempt may have run and gave no usable answer.
+        Retry,
+        /// The attempt in flight is slow.
+        Hedge,
+    }
+}
+
 /// What the driver of a call must do.
 #[derive(Clone, Debug)]
 pub enum CallAction {
@@ -108,6 +122,8 @@
         candidate: Arc<Candidate>,
         /// Whether the gate may queue it.
         may_queue: bool,
+        /// Why it is sent.
+        cause: AttemptCause,
     },
     /// Retire the attempt's connection and ask its gate what became of it.
     Settle {
@@ -206,19 +222,15 @@
             return actions;
         }
         if self.may_hedge() {
-            self.hedge_at = cx
-                .table
-                .state
-                .hedge_after
-                .get()
-                .map(|d| now + d.max(MIN_HEDGE_DELAY));
+            self.hedge_at = cx.table.state.hedge_after.get().map(|d| now + d.max(MIN_HEDGE_DELAY));
         }
         actions.push(self.next_wake());
         actions
     }
 
     fn may_hedge(&self) -> bool {
-        self.spec.hedge && !self.spec.is_retry && self.spec.kind == WorkKind::Idempotent
+        let allowed = self.spec.hedge && self.spec.replayable && !self.spec.is_retry;
+        allowed && self.spec.kind == WorkKind::Idempotent
     }
 
     fn refused<R: Rng>(
@@ -264,13 +276,9 @@
         let Some(flight) = self.take(now, id, false) else {
             return Vec::new();
         };
-        flight.candidate.connection_refused();
+        flight.candidate.connection_refused(now);
         self.excluded.push(flight.candidate.member.node);
-        if self.flights.is_empty() {
-            self.next_attempt(now, cx, rng)
-        } else {
-            Vec::new()
-        }
+        if self.flights.is_empty() { self.next_attempt(now, cx, rng) } else { Vec::new() }
     }
 
     fn lost<R: Rng>(
@@ -299,10 +307,7 @@
         let flight = self.flights.iter_mut().find(|f| f.id == id);
         flight.map_or_else(Vec::new, |flight| {
             flight.settle_at = None;
-            vec![CallAction::Settle {
-                id,
-                candidate: Arc::clone(&flight.candidate),
-            }]
+            vec![CallAction::Settle { id, candidate: Arc::clone(&flight.candidate) }]
         })
     }
 
@@ -371,16 +376,12 @@
     }
 
     fn has_other<R: Rng>(&self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> bool {
-        let req = PickRequest {
-            now,
-            tried: &self.excluded,
-            may_spill: false,
-        };
+        let req = PickRequest { now, tried: &self.excluded, may_spill: false };
         pick(cx.table, req, rng).is_some()
     }
 
     fn may_retry(&self, cx: CallContext<'_>) -> bool {
-        !self.spec.is_retry && cx.table.state.retries.try_withdraw()
+        self.spec.replayable && !self.spec.is_retry && cx.table.state.retries.try_withdraw()
     }
 
     fn timer<R: Rng>(&mut self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> Vec<CallAction> {
@@ -417,17 +418,13 @@
         };
         let mut tried = self.excluded.clone();
         tried.push(first.candidate.member.node);
-        let req = PickRequest {
-            now,
-            tried: &tried,
-            may_spill: false,
-        };
+        let req = PickRequest { now, tried: &tried, may_spill: false };
         let pick = pick(cx.table, req, rng)?;
         if pick.estimate.utilisation >= QUEUE_UTILISATION || !cx.table.state.retries.try_withdraw()
         {
             return None;
         }
-        Some(self.send(now, cx, pick.candidate, false, true))
+        Some(self.send(now, cx, pick.candidate, false, AttemptCause::Hedge))
     }
 
     fn next_attempt<R: Rng>(
@@ -440,25 +437,16 @@
             let outcome = self.give_up(NotRunReason::Expired);
             return self.finish(now, outcome);
         }
-        let direct = self.direct < DIRECT_ATTEMPTS;
+        if !self.spec.replayable && self.direct + self.queued > 0 {
+            let outcome = self.give_up(NotRunReason::BodySpent);
+            return self.finish(now, outcome);
+        }
+        let direct = self.spec.replayable && self.direct < DIRECT_ATTEMPTS;
         let tried = self.tried(direct);
-        let req = PickRequest {
-            now,
-            tried: &tried,
-            may_spill: true,
-        };
+        let req = PickRequest { now, tried: &tried, may_spill: true };
         let found = pick(cx.table, req, rng)
             .filter(|p| p.candidate.distance != Distance::Remote || may_spill(now, cx))
-            .or_else(|| {
-                pick(
-                    cx.table,
-                    PickRequest {
-                        may_spill: false,
-                        ..req
-                    },
-                    rng,
-                )
-            });
+            .or_else(|| pick(cx.table, PickRequest { may_spill: false, ..req }, rng));
         let Some(found) = found else {
             return self.no_candidate(now, cx, rng, direct);
         };
@@ -472,7 +460,8 @@
             let outcome = self.give_up(NotRunReason::ServiceFull);
             return self.finish(now, outcome);
         }
-        vec![self.send(now, cx, found.candidate, may_queue, false)]
+        let cause = if self.may_have_run { AttemptCause::Retry } else { AttemptCause::First };
+        vec![self.send(now, cx, found.candidate, may_queue, cause)]
     }
 
     fn no_candidate<R: Rng>(
@@ -486,11 +475,8 @@
             self.direct = DIRECT_ATTEMPTS;
             return self.next_attempt(now, cx, rng);
         }
-        let reason = if self.queued > 0 {
-            NotRunReason::ServiceFull
-        } else {
-            NotRunReason::NoUpstream
-        };
+        let reason =
+            if self.queued > 0 { NotRunReason::ServiceFull } else { NotRunReason::NoUpstream };
         let outcome = self.give_up(reason);
         self.finish(now, outcome)
     }
@@ -506,31 +492,21 @@
         cx: CallContext<'_>,
         candidate: Arc<Candidate>,
         may_queue: bool,
-        hedge: bool,
+        cause: AttemptCause,
     ) -> CallAction {
         let idempotent = self.spec.kind == WorkKind::Idempotent;
-        invariant!(
-            idempotent || self.flights.is_empty(),
-            "one_attempt_of_non_idempotent_work"
-        );
+        invariant!(idempotent || self.flights.is_empty(), "one_attempt_of_non_idempotent_work");
         let sequence = cx.sequence.fetch_add(1, Ordering::Relaxed) + 1;
-        let id = AttemptId {
-            entry: cx.entry,
-            sequence,
-        };
+        let id = AttemptId { entry: cx.entry, sequence };
         candidate.sent(now);
         self.flights.push(Flight {
             id,
             candidate: Arc::clone(&candidate),
             sent_at: now,
-            hedge,
+            hedge: cause == AttemptCause::Hedge,
             settle_at: None,
         });
-        CallAction::Send {
-            id,
-            candidate,
-            may_queue,
-        }
+        CallAction::Send { id, candidate, may_queue, cause }
     }
 
     fn take(&mut self, now: Tick, id: AttemptId, answered: bool) -> Option<Flight> {
@@ -546,10 +522,7 @@
 
     fn next_wake(&self) -> CallAction {
         let settles = self.flights.iter().filter_map(|f| f.settle_at);
-        let first = settles
-            .chain(self.hedge_at)
-            .chain([self.spec.deadline])
-            .min();
+        let first = settles.chain(self.hedge_at).chain([self.spec.deadline]).min();
         CallAction::WakeAt(first.unwrap_or(self.spec.deadline))
     }
 
@@ -557,20 +530,14 @@
         if self.may_have_run {
             return Outcome::Unknown;
         }
-        Outcome::NotRun {
-            reason,
-            retry_after: RETRY_AFTER_FULL,
-        }
+        Outcome::NotRun { reason, retry_after: RETRY_AFTER_FULL }
     }
 
     fn finish(&mut self, now: Tick, outcome: Outcome) -> Vec<CallAction> {
         self.finished = true;
         let in_flight = !self.flights.is_empty();
         let not_run = matches!(outcome, Outcome::NotRun { .. });
-        invariant!(
-            !not_run || (!in_flight && !self.may_have_run),
-            "not_run_is_definite"
-        );
+        invariant!(!not_run || (!in_flight && !self.may_have_run), "not_run_is_definite");
         let flights = std::mem::take(&mut self.flights);
         let mut actions: Vec<CallAction> = flights
             .iter()
--- a/pistachiolane/src/attempt/ledger.rs
+++ b/pistachiolane/src/attempt/ledger.rs
@@ -49,10 +49,7 @@
 
 impl LedgerEntry {
     fn new() -> Self {
-        Self {
-            state: AtomicU8::new(WAITING),
-            ended_at: AtomicU64::new(0),
-        }
+        Self { state: AtomicU8::new(WAITING), ended_at: AtomicU64::new(0) }
     }
 
     /// Moves to running; `false` means that a settlement said *not run* and it must not run.
@@ -82,9 +79,7 @@
     }
 
     fn move_from(&self, from: u8, to: u8) -> bool {
-        self.state
-            .compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst)
-            .is_ok()
+        self.state.compare_exchange(from, to, Ordering::SeqCst, Ordering::SeqCst).is_ok()
     }
 
     fn is_forgettable(&self, now: Tick) -> bool {
@@ -131,11 +126,7 @@
 impl Ledger {
     /// An empty ledger of a gate's run.
     pub fn new(gate: u64) -> Self {
-        Self {
-            gate,
-            entries: HashMap::new(),
-            forgot_entries: AtomicBool::new(false),
-        }
+        Self { gate, entries: HashMap::new(), forgot_entries: AtomicBool::new(false) }
     }
 
     /// Registers an attempt that came over a connection, before anything is decided about it.
@@ -164,11 +155,7 @@
         }
         let record = self.record(now, req.id.entry, req.id.sequence);
         record.retired.fetch_max(req.connection, Ordering::SeqCst);
-        let known = record
-            .attempts
-            .pin()
-            .get(&req.id.sequence)
-            .map(|e| e.settle(now));
+        let known = record.attempts.pin().get(&req.id.sequence).map(|e| e.settle(now));
         let forgotten = req.id.sequence <= record.forgotten.load(Ordering::SeqCst);
         match known {
             Some(settlement) => settlement,
@@ -180,9 +167,7 @@
     /// Whether a connection of an entry was retired.
     pub fn is_retired(&self, entry: u64, connection: u64) -> bool {
         let entries = self.entries.pin();
-        entries
-            .get(&entry)
-            .is_some_and(|r| connection <= r.retired.load(Ordering::SeqCst))
+        entries.get(&entry).is_some_and(|r| connection <= r.retired.load(Ordering::SeqCst))
     }
 
     /// Forgets what ended long ago. Running attempts are never forgotten.
@@ -224,10 +209,7 @@
         let record = entries.get_or_insert_with(entry, || {
             let forgot = self.forgot_entries.load(Ordering::SeqCst);
             let forgotten = if forgot { unknown_up_to } else { 0 };
-            Arc::new(EntryRecord {
-                forgotten: AtomicU64::new(forgotten),
-                ..EntryRecord::default()
-            })
+            Arc::new(EntryRecord { forgotten: AtomicU64::new(forgotten), ..EntryRecord::default() })
         });
         record.used_at.fetch_max(now.0, Ordering::SeqCst);
         Arc::clone(record)
@@ -245,12 +227,7 @@
             return Err(BeginError::Duplicate);
         }
         let entry = Arc::new(LedgerEntry::new());
-        if self
-            .attempts
-            .pin()
-            .try_insert(sequence, Arc::clone(&entry))
-            .is_err()
-        {
+        if self.attempts.pin().try_insert(sequence, Arc::clone(&entry)).is_err() {
             return Err(BeginError::Duplicate);
         }
         if connection <= self.retired.load(Ordering::SeqCst) {
@@ -263,16 +240,11 @@
     fn sweep(&self, now: Tick) {
         let attempts = self.attempts.pin();
         let surplus = attempts.len().saturating_sub(MAX_ATTEMPTS_OF_ENTRY);
-        let mut ended: Vec<u64> = attempts
-            .iter()
-            .filter(|(_, e)| e.has_ended())
-            .map(|(&s, _)| s)
-            .collect();
+        let mut ended: Vec<u64> =
+            attempts.iter().filter(|(_, e)| e.has_ended()).map(|(&s, _)| s).collect();
         ended.sort_unstable();
         for (at, sequence) in ended.into_iter().enumerate() {
-            let old = attempts
-                .get(&sequence)
-                .is_some_and(|e| e.is_forgettable(now));
+            let old = attempts.get(&sequence).is_some_and(|e| e.is_forgettable(now));
             if old || at < surplus {
                 // The mark is raised first, so that no settlement finds neither.
                 self.forgotten.fetch_max(sequence, Ordering::SeqCst);
--- a/pistachiolane/src/attempt/mod.rs
+++ b/pistachiolane/src/attempt/mod.rs
@@ -5,7 +5,7 @@
 mod outcome;
 
 pub use {
-    call::{Call, CallAction, CallContext, CallEvent, CallSpec},
+    call::{AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec},
     ledger::{BeginError, Ledger, LedgerEntry},
     outcome::{NotRunReason, Outcome},
 };
--- /dev/null
+++ b/pistachiolane/src/cli/output.rs
@@ -0,0 +1,77 @@
+//! Output for people.
+
+use {serde_json::Value, std::fmt::Write};
+
+/// A document as indented JSON.
+pub fn pretty(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        _ => serde_json::to_string_pretty(value).unwrap_or_default(),
+    }
+}
+
+/// Lines that differ between two documents, by path: `-` as it stands, `+` as wanted.
+pub fn diff(current: &Value, wanted: &Value) -> String {
+    let mut text = String::new();
+    diff_at("", current, wanted, &mut text);
+    text
+}
+
+fn diff_at(path: &str, current: &Value, wanted: &Value, text: &mut String) {
+    match (current, wanted) {
+        (a, b) if a == b => {}
+        (Value::Object(a), Value::Object(b)) => {
+            for (key, value) in a {
+                diff_at(&format!("{path}/{key}"), value, b.get(key).unwrap_or(&Value::Null), text);
+            }
+            for (key, value) in b.iter().filter(|(key, _)| !a.contains_key(*key)) {
+                diff_at(&format!("{path}/{key}"), &Value::Null, value, text);
+            }
+        }
+        (a, b) => {
+            line('-', path, a, text);
+            line('+', path, b, text);
+        }
+    }
+}
+
+fn line(sign: char, path: &str, value: &Value, text: &mut String) {
+    if !value.is_null() {
+        // Writing to a string cannot fail.
+        let _infallible = writeln!(text, "{sign} {path} = {value}");
+    }
+}
+
+/// The status of a fleet in one screen.
+pub fn status(value: &Value) -> String {
+    let mut text = String::new();
+    let field = |name: &str| pretty(&value[name]);
+    let _infallible = writeln!(
+        text,
+        "node {}  region {}  zone {}  ready {}  draining {}",
+        field("node"),
+        field("region"),
+        field("zone"),
+        field("ready"),
+        field("draining")
+    );
+    section(&mut text, "members", &value["members"]);
+    section(&mut text, "services", &value["services"]);
+    section(&mut text, "settings versions", &value["settings"]);
+    let violations = &value["invariant_violations"];
+    let _infallible = writeln!(text, "invariant violations {violations}");
+    text
+}
+
+fn section(text: &mut String, title: &str, value: &Value) {
+    let _infallible = writeln!(text, "{title}");
+    for (name, item) in value.as_object().into_iter().flatten() {
+        let columns = match item {
+            Value::Object(map) => {
+                map.iter().map(|(k, v)| format!("{k} {v}")).collect::<Vec<_>>().join("  ")
+            }
+            other => other.to_string(),
+        };
+        let _infallible = writeln!(text, "  {name:<20} {columns}");
+    }
+}
--- /dev/null
+++ b/pistachiolane/src/cli/run.rs
@@ -0,0 +1,70 @@
+//! Reads the command line and runs the command.
+
+use {
+    super::{
+        Exit,
+        args::{Args, Command},
+        commands, node_process,
+    },
+    gumdrop::Options,
+    std::process::ExitCode,
+};
+
+/// Runs the program with its arguments.
+pub fn run(args: &[String]) -> ExitCode {
+    execute(args).into()
+}
+
+fn execute(args: &[String]) -> Exit {
+    let parsed = match Args::parse_args_default(args) {
+        Ok(parsed) => parsed,
+        Err(e) => {
+            eprintln!("{e}\ntry `pistachiolane --help`");
+            return Exit::Usage;
+        }
+    };
+    if parsed.version {
+        println!("pistachiolane {}", env!("CARGO_PKG_VERSION"));
+        return Exit::Done;
+    }
+    if parsed.help_requested() {
+        print_help(&parsed);
+        return Exit::Done;
+    }
+    match parsed.command {
+        None => {
+            print_help(&parsed);
+            Exit::Usage
+        }
+        Some(Command::Node(args)) => node_process::run(&args),
+        Some(command) => run_command(command),
+    }
+}
+
+fn run_command(command: Command) -> Exit {
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(commands::run(command)),
+        Err(e) => {
+            eprintln!("cannot start: {e}");
+            Exit::Failed
+        }
+    }
+}
+
+fn print_help(args: &Args) {
+    let mut shown: &dyn Options = args;
+    let mut name = "pistachiolane".to_owned();
+    while let Some(command) = shown.command() {
+        if let Some(word) = command.command_name() {
+            name = format!("{name} {word}");
+        }
+        shown = command;
+    }
+    println!("Usage: {name} [OPTIONS]\n\n{}", shown.self_usage());
+    if let Some(commands) = shown.self_command_list() {
+        println!("\nCommands:\n{commands}\n\n`pistachiolane COMMAND --help` tells more.");
+        println!(
+            "Exit codes: 0 done, 1 failed, 2 usage, 3 refused, 4 conflict, 5 unknown or pending"
+        );
+    }
+}
--- a/pistachiolane/src/config/change.rs
+++ b/pistachiolane/src/config/change.rs
@@ -116,12 +116,7 @@
         expected: u64,
         regions: BTreeSet<Arc<str>>,
     ) -> (Self, ChangeAction) {
-        let change = Self {
-            subtree,
-            expected,
-            waiting: regions,
-            phase: Phase::Writing,
-        };
+        let change = Self { subtree, expected, waiting: regions, phase: Phase::Writing };
         (change, ChangeAction::Write { expected })
     }
 
@@ -150,9 +145,7 @@
             WriteResult::Conflict => self.finish(ChangeOutcome::Conflict),
             WriteResult::NotWritten => self.finish(ChangeOutcome::NotWritten),
             WriteResult::Lost => {
-                self.phase = Phase::ReadingBack {
-                    until: now + READ_BACK_TIMEOUT,
-                };
+                self.phase = Phase::ReadingBack { until: now + READ_BACK_TIMEOUT };
                 vec![ChangeAction::ReadBack]
             }
         }
@@ -190,12 +183,8 @@
             let regions = self.waiting.iter().cloned().collect();
             return self.finish(ChangeOutcome::Pending { version, regions });
         }
-        let mut actions: Vec<ChangeAction> = self
-            .waiting
-            .iter()
-            .cloned()
-            .map(ChangeAction::Confirm)
-            .collect();
+        let mut actions: Vec<ChangeAction> =
+            self.waiting.iter().cloned().map(ChangeAction::Confirm).collect();
         actions.push(ChangeAction::WakeAt(now + RETRY_INTERVAL));
         actions
     }
@@ -209,10 +198,7 @@
 
     fn finish(&mut self, outcome: ChangeOutcome) -> Vec<ChangeAction> {
         let accepted = matches!(outcome, ChangeOutcome::Accepted(_));
-        invariant!(
-            !accepted || self.waiting.is_empty(),
-            "accepted_is_acknowledged"
-        );
+        invariant!(!accepted || self.waiting.is_empty(), "accepted_is_acknowledged");
         self.phase = Phase::Finished;
         vec![ChangeAction::Finish(outcome)]
     }
--- a/pistachiolane/src/config/checks.rs
+++ b/pistachiolane/src/config/checks.rs
@@ -24,10 +24,7 @@
 /// Gives every fault found, each with its path.
 pub fn check_document(name: &str, text: &str, root: &RootDocument) -> Result<(), Vec<Fault>> {
     if text.len() > MAX_DOCUMENT_BYTES {
-        let reason = format!(
-            "{} bytes, at most {MAX_DOCUMENT_BYTES} are allowed",
-            text.len()
-        );
+        let reason = format!("{} bytes, at most {MAX_DOCUMENT_BYTES} are allowed", text.len());
         return Err(vec![Fault::new(name, reason)]);
     }
     let faults = if name == ROOT {
@@ -35,11 +32,7 @@
     } else {
         check_team(name, &parse(name, text)?, root)
     };
-    if faults.is_empty() {
-        Ok(())
-    } else {
-        Err(faults)
-    }
+    if faults.is_empty() { Ok(()) } else { Err(faults) }
 }
 
 /// Reads a document; a fault names the path of the value that does not fit the schema.
@@ -49,15 +42,8 @@
 pub fn parse<T: DeserializeOwned>(name: &str, text: &str) -> Result<T, Vec<Fault>> {
     let mut de = serde_json::Deserializer::from_str(text);
     serde_path_to_error::deserialize(&mut de).map_err(|e| {
-        let path = e
-            .path()
-            .to_string()
-            .replace(['.', '['], "/")
-            .replace(']', "");
-        vec![Fault::new(
-            format!("{name}/{path}"),
-            e.into_inner().to_string(),
-        )]
+        let path = e.path().to_string().replace(['.', '['], "/").replace(']', "");
+        vec![Fault::new(format!("{name}/{path}"), e.into_inner().to_string())]
     })
 }
 
@@ -67,27 +53,18 @@
     for (team, entry) in &root.teams {
         check_name(&format!("{ROOT}/teams/{team}"), team, &mut faults);
         if team == ROOT {
-            faults.push(Fault::new(
-                format!("{ROOT}/teams/{team}"),
-                "the name is taken",
-            ));
+            faults.push(Fault::new(format!("{ROOT}/teams/{team}"), "the name is taken"));
         }
         for service in &entry.services {
             let path = format!("{ROOT}/teams/{team}/services");
             check_name(&path, service, &mut faults);
             if let Some(other) = owners.insert(service, team) {
-                faults.push(Fault::new(
-                    path,
-                    format!("`{service}` belongs to team `{other}`"),
-                ));
+                faults.push(Fault::new(path, format!("`{service}` belongs to team `{other}`")));
             }
         }
         if !entry.token_digest.is_empty() && !entry.token_digest.contains('$') {
             let path = format!("{ROOT}/teams/{team}/token_digest");
-            faults.push(Fault::new(
-                path,
-                "not a digest; make one with `pistachiolane token`",
-            ));
+            faults.push(Fault::new(path, "not a digest; make one with `pistachiolane token`"));
         }
     }
     for region in root.regions.keys() {
@@ -126,17 +103,11 @@
 
 fn check_rule(path: &str, rule: &Rule, faults: &mut Vec<Fault>) {
     if !rule.path.starts_with('/') {
-        faults.push(Fault::new(
-            format!("{path}/path"),
-            "a path prefix begins with `/`",
-        ));
+        faults.push(Fault::new(format!("{path}/path"), "a path prefix begins with `/`"));
     }
     let is_token = !rule.method.is_empty() && rule.method.bytes().all(|b| b.is_ascii_uppercase());
     if rule.method != "*" && !is_token {
-        faults.push(Fault::new(
-            format!("{path}/method"),
-            "an HTTP method in capitals, or `*`",
-        ));
+        faults.push(Fault::new(format!("{path}/method"), "an HTTP method in capitals, or `*`"));
     }
     if let Some(timeout_ms) = rule.timeout_ms {
         check_timeout(&format!("{path}/timeout_ms"), timeout_ms, faults);
--- a/pistachiolane/src/config/edit.rs
+++ b/pistachiolane/src/config/edit.rs
@@ -20,11 +20,8 @@
 /// Fails when the path leads through a plain value or a list index is out of range.
 pub fn set_path(document: &Value, path: &str, value: Option<Value>) -> Result<Value, Fault> {
     let parts: Vec<&str> = segments(path).collect();
-    let mut copy = if document.is_null() {
-        Value::Object(serde_json::Map::new())
-    } else {
-        document.clone()
-    };
+    let mut copy =
+        if document.is_null() { Value::Object(serde_json::Map::new()) } else { document.clone() };
     match parts.split_last() {
         None => Ok(value.unwrap_or(Value::Null)),
         Some((last, parents)) => {
@@ -44,22 +41,16 @@
     path: &str,
     parents: &[&str],
 ) -> Result<&'a mut Value, Fault> {
-    parents
-        .iter()
-        .try_fold(document, |value, segment| match value {
-            Value::Object(map) => Ok(map
-                .entry(*segment)
-                .or_insert_with(|| Value::Object(serde_json::Map::new()))),
-            Value::Array(list) => {
-                let at = index(path, segment)?;
-                list.get_mut(at)
-                    .ok_or_else(|| Fault::new(path, format!("no item {at} in the list")))
-            }
-            _ => Err(Fault::new(
-                path,
-                format!("`{segment}` leads into a plain value"),
-            )),
-        })
+    parents.iter().try_fold(document, |value, segment| match value {
+        Value::Object(map) => {
+            Ok(map.entry(*segment).or_insert_with(|| Value::Object(serde_json::Map::new())))
+        }
+        Value::Array(list) => {
+            let at = index(path, segment)?;
+            list.get_mut(at).ok_or_else(|| Fault::new(path, format!("no item {at} in the list")))
+        }
+        _ => Err(Fault::new(path, format!("`{segment}` leads into a plain value"))),
+    })
 }
 
 fn put(parent: &mut Value, path: &str, last: &str, value: Option<Value>) -> Result<(), Fault> {
@@ -95,7 +86,5 @@
 }
 
 fn index(path: &str, segment: &str) -> Result<usize, Fault> {
-    segment
-        .parse()
-        .map_err(|e| Fault::new(path, format!("`{segment}` is no list index: {e}")))
+    segment.parse().map_err(|e| Fault::new(path, format!("`{segment}` is no list index: {e}")))
 }
--- a/pistachiolane/src/config/fault.rs
+++ b/pistachiolane/src/config/fault.rs
@@ -17,10 +17,7 @@
 impl Fault {
     /// A fault of a path.
     pub fn new(path: impl Into<String>, reason: impl Into<String>) -> Self {
-        Self {
-            path: path.into(),
-            reason: reason.into(),
-        }
+        Self { path: path.into(), reason: reason.into() }
     }
 }
 
--- a/pistachiolane/src/config/holder.rs
+++ b/pistachiolane/src/config/holder.rs
@@ -57,10 +57,7 @@
     pub fn versions(&self) -> Vec<SubtreeVersion> {
         self.subtrees
             .values()
-            .map(|s| SubtreeVersion {
-                name: Arc::clone(&s.name),
-                version: s.version,
-            })
+            .map(|s| SubtreeVersion { name: Arc::clone(&s.name), version: s.version })
             .collect()
     }
 
@@ -96,11 +93,7 @@
 
     /// Copies of the named subtrees that are held.
     pub fn copies(&self, names: &[Arc<str>]) -> Vec<Subtree> {
-        names
-            .iter()
-            .filter_map(|name| self.subtrees.get(name))
-            .cloned()
-            .collect()
+        names.iter().filter_map(|name| self.subtrees.get(name)).cloned().collect()
     }
 
     /// The tree that the subtrees make.
--- a/pistachiolane/src/config/tree.rs
+++ b/pistachiolane/src/config/tree.rs
@@ -66,10 +66,7 @@
 
     /// Budgets of a region, defaults where the tree names none.
     pub fn region(&self, name: &str) -> RegionSettings {
-        let default = || RegionSettings {
-            probes_per_second: 20,
-            paid_bytes_per_second: 1_048_576,
-        };
+        let default = || RegionSettings { probes_per_second: 20, paid_bytes_per_second: 1_048_576 };
         self.root.regions.get(name).cloned().unwrap_or_else(default)
     }
 }
@@ -81,20 +78,12 @@
     pub fn of(settings: &ServiceSettings, method: &str, path: &str) -> Self {
         let rule = settings.rules.iter().find(|r| matches(r, method, path));
         let safe = matches!(method, "GET" | "HEAD" | "OPTIONS");
-        let default = if safe {
-            WorkKind::Idempotent
-        } else {
-            WorkKind::NonIdempotent
-        };
-        let timeout_ms = rule
-            .and_then(|r| r.timeout_ms)
-            .unwrap_or(settings.timeout_ms);
+        let default = if safe { WorkKind::Idempotent } else { WorkKind::NonIdempotent };
+        let timeout_ms = rule.and_then(|r| r.timeout_ms).unwrap_or(settings.timeout_ms);
         Self {
             kind: rule.map_or(default, |r| r.kind),
             timeout: Duration::from_millis(u64::from(timeout_ms)),
-            max_body_bytes: rule
-                .and_then(|r| r.max_body_bytes)
-                .unwrap_or(settings.max_body_bytes),
+            max_body_bytes: rule.and_then(|r| r.max_body_bytes).unwrap_or(settings.max_body_bytes),
         }
     }
 }
--- a/pistachiolane/src/limits/adaptive_limit.rs
+++ b/pistachiolane/src/limits/adaptive_limit.rs
@@ -72,10 +72,7 @@
 
     /// Smoothed share of failed requests in percent; halves with each second without a failure.
     pub fn failing_percent(&self, now: Tick) -> u32 {
-        let quiet = now
-            .since(Tick(self.failed_at.load(Ordering::Relaxed)))
-            .as_secs()
-            .min(31);
+        let quiet = now.since(Tick(self.failed_at.load(Ordering::Relaxed))).as_secs().min(31);
         self.failing_percent.load(Ordering::Relaxed) >> quiet
     }
 
@@ -94,9 +91,7 @@
         smooth(&self.latency_us, sample);
         // The first sample sets the baseline; later lower ones lower it.
         let lower = |baseline: u64| (baseline == 0 || sample < baseline).then_some(sample);
-        let _kept = self
-            .baseline_us
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, lower);
+        let _kept = self.baseline_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, lower);
         self.adjust(now);
     }
 
@@ -114,8 +109,7 @@
             return;
         }
         let won =
-            self.adjusted_at
-                .compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed);
+            self.adjusted_at.compare_exchange(last, now.0, Ordering::Relaxed, Ordering::Relaxed);
         if won.is_err() {
             return;
         }
@@ -136,11 +130,7 @@
 
 fn smooth(estimate: &AtomicU64, sample: u64) {
     let step = |old: u64| {
-        Some(if old == 0 {
-            sample
-        } else {
-            (old * (SMOOTHING - 1) + sample) / SMOOTHING
-        })
+        Some(if old == 0 { sample } else { (old * (SMOOTHING - 1) + sample) / SMOOTHING })
     };
     let _previous = estimate.fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
 }
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -58,6 +58,12 @@
             Self::Expired => "expired",
         }
     }
+
+    /// Reason of a name; an unknown one counts as the gate not being usable.
+    pub fn from_name(name: &[u8]) -> Self {
+        let all = [Self::Busy, Self::QueueFull, Self::Draining, Self::Retired, Self::Expired];
+        all.into_iter().find(|r| r.name().as_bytes() == name).unwrap_or(Self::NotHere)
+    }
 }
 
 /// The only place that admits requests to one upstream.
@@ -93,8 +99,7 @@
     /// Takes an announcement of the upstream.
     pub fn announce(&self, now: Tick, slots: u16, draining: bool) {
         if !self.present.swap(true, Ordering::SeqCst) {
-            self.ready_at
-                .store((now + WARMING_TIME).0, Ordering::Relaxed);
+            self.ready_at.store((now + WARMING_TIME).0, Ordering::Relaxed);
         }
         self.limit.announce(u32::from(slots));
         self.draining.store(draining, Ordering::SeqCst);
@@ -138,10 +143,7 @@
         }
         let bound = self.queue_bound();
         let join = |queued: u32| (queued < bound).then_some(queued + 1);
-        match self
-            .queued
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, join)
-        {
+        match self.queued.fetch_update(Ordering::SeqCst, Ordering::SeqCst, join) {
             Ok(_) => Arrival::Queue,
             Err(_) => Arrival::Refuse(RefusalReason::QueueFull),
         }
@@ -168,8 +170,7 @@
         let was_failing = self.limit.is_failing(now);
         self.limit.observe(now, service_time, success);
         if was_failing && !self.limit.is_failing(now) {
-            self.ready_at
-                .store((now + WARMING_TIME).0, Ordering::Relaxed);
+            self.ready_at.store((now + WARMING_TIME).0, Ordering::Relaxed);
         }
     }
 
--- a/pistachiolane/src/limits/quantile.rs
+++ b/pistachiolane/src/limits/quantile.rs
@@ -27,11 +27,7 @@
 impl Quantile {
     /// An estimator of the quantile `permille / 1000`.
     pub fn new(permille: u64) -> Self {
-        Self {
-            estimate_us: AtomicU64::new(0),
-            samples: AtomicU64::new(0),
-            permille,
-        }
+        Self { estimate_us: AtomicU64::new(0), samples: AtomicU64::new(0), permille }
     }
 
     /// Adds one sample.
@@ -45,14 +41,10 @@
             Some(if sample_us > estimate {
                 estimate + (unit * self.permille / 1_000).max(1)
             } else {
-                estimate
-                    .saturating_sub(unit * (1_000 - self.permille) / 1_000)
-                    .max(1)
+                estimate.saturating_sub(unit * (1_000 - self.permille) / 1_000).max(1)
             })
         };
-        let _previous = self
-            .estimate_us
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
+        let _previous = self.estimate_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
         self.samples.fetch_add(1, Ordering::Relaxed);
     }
 
--- a/pistachiolane/src/limits/retry_budget.rs
+++ b/pistachiolane/src/limits/retry_budget.rs
@@ -16,9 +16,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            units: AtomicU64::new(5 * UNITS_PER_RETRY),
-        }
+        Self { units: AtomicU64::new(5 * UNITS_PER_RETRY) }
     }
 }
 
@@ -28,17 +26,13 @@
         let add = u64::from(percent);
         let credit = |units: u64| (units < MAX_UNITS).then(|| (units + add).min(MAX_UNITS));
         // A full budget needs no write.
-        let _full = self
-            .units
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, credit);
+        let _full = self.units.fetch_update(Ordering::Relaxed, Ordering::Relaxed, credit);
     }
 
     /// Takes the price of one retry if the budget holds it.
     pub fn try_withdraw(&self) -> bool {
         let debit = |units: u64| units.checked_sub(UNITS_PER_RETRY);
-        self.units
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, debit)
-            .is_ok()
+        self.units.fetch_update(Ordering::Relaxed, Ordering::Relaxed, debit).is_ok()
     }
 
     /// Whole retries that the budget holds.
--- a/pistachiolane/src/limits/slots.rs
+++ b/pistachiolane/src/limits/slots.rs
@@ -12,9 +12,7 @@
     /// Takes a slot if fewer than `limit` are taken.
     pub fn try_take(&self, limit: u32) -> bool {
         let take = |running: u32| (running < limit).then_some(running + 1);
-        self.running
-            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
-            .is_ok()
+        self.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
     }
 
     /// Gives a slot back.
--- a/pistachiolane/src/limits/token_bucket.rs
+++ b/pistachiolane/src/limits/token_bucket.rs
@@ -45,12 +45,10 @@
         let now_ns = now.0.saturating_mul(1_000);
         let price_ns = cost_ns(tokens, rate);
         let window_ns = cost_ns(burst, rate);
-        let taken = self
-            .next
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |next| {
-                let after = next.max(now_ns).saturating_add(price_ns);
-                (after <= now_ns.saturating_add(window_ns)).then_some(after)
-            });
+        let taken = self.next.fetch_update(Ordering::AcqRel, Ordering::Acquire, |next| {
+            let after = next.max(now_ns).saturating_add(price_ns);
+            (after <= now_ns.saturating_add(window_ns)).then_some(after)
+        });
         if taken.is_ok() {
             self.granted.fetch_add(tokens, Ordering::Relaxed);
         }
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -35,20 +35,14 @@
 
 impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
-        Self {
-            lines: BTreeMap::new(),
-            turn: None,
-        }
+        Self { lines: BTreeMap::new(), turn: None }
     }
 }
 
 impl<T> WaitQueue<T> {
     /// Adds an item for which [`Gate::arrive`] took a place.
     pub fn push(&mut self, caller: Arc<str>, deadline: Tick, item: T) {
-        self.lines
-            .entry(caller)
-            .or_default()
-            .push_back(Waiter { item, deadline });
+        self.lines.entry(caller).or_default().push_back(Waiter { item, deadline });
     }
 
     /// Items waiting.
@@ -103,9 +97,7 @@
             let later = (std::ops::Bound::Excluded(turn), std::ops::Bound::Unbounded);
             self.lines.range::<Arc<str>, _>(later).next()
         });
-        after
-            .or_else(|| self.lines.iter().next())
-            .map(|(caller, _)| Arc::clone(caller))
+        after.or_else(|| self.lines.iter().next()).map(|(caller, _)| Arc::clone(caller))
     }
 
     fn remove_head(&mut self, caller: &Arc<str>) -> Option<T> {
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -232,8 +232,7 @@
         self.timer_at = now;
         self.check_probes(now, rng, actions);
         self.check_suspects(now, actions);
-        self.relays
-            .retain(|_, r| now.since(r.sent_at) < INDIRECT_TIMEOUT);
+        self.relays.retain(|_, r| now.since(r.sent_at) < INDIRECT_TIMEOUT);
         if now >= self.probe_at {
             self.probe_at = now + PROBE_PERIOD;
             self.probe_next(now, rng, actions);
@@ -241,12 +240,7 @@
         }
         if now >= self.rejoin_at {
             let alone = self.is_empty();
-            self.rejoin_at = now
-                + if alone {
-                    PROBE_PERIOD * 2
-                } else {
-                    REJOIN_PERIOD
-                };
+            self.rejoin_at = now + if alone { PROBE_PERIOD * 2 } else { REJOIN_PERIOD };
             self.probe_lost(rng, actions);
         }
     }
@@ -303,11 +297,8 @@
         let Some(address) = self.known.get(&target).map(|m| m.record.control) else {
             return;
         };
-        let mut helpers: Vec<SocketAddr> = self
-            .neighbours()
-            .filter(|r| r.node != target)
-            .map(|r| r.control)
-            .collect();
+        let mut helpers: Vec<SocketAddr> =
+            self.neighbours().filter(|r| r.node != target).map(|r| r.control).collect();
         helpers.shuffle(rng);
         for helper in helpers.into_iter().take(INDIRECT_PROBES) {
             let body = PacketBody::PingRequest(PingRequest { target, address });
@@ -323,10 +314,7 @@
         if !matches!(member.record.health, Health::Alive | Health::Draining) {
             return;
         }
-        let record = MemberRecord {
-            health: Health::Suspect,
-            ..member.record.clone()
-        };
+        let record = MemberRecord { health: Health::Suspect, ..member.record.clone() };
         self.merge(now, record, actions);
     }
 
@@ -336,13 +324,10 @@
             _ => false,
         };
         let dead: Vec<MemberRecord> = self
-            .members
+            .known
             .values()
             .filter(due)
-            .map(|m| MemberRecord {
-                health: Health::Dead,
-                ..m.record.clone()
-            })
+            .map(|m| MemberRecord { health: Health::Dead, ..m.record.clone() })
             .collect();
         for record in dead {
             self.merge(now, record, actions);
@@ -366,14 +351,7 @@
             }
             let address = member.record.control;
             let sequence = self.next_sequence();
-            self.probes.insert(
-                sequence,
-                Probe {
-                    target: node,
-                    sent_at: now,
-                    indirect: false,
-                },
-            );
+            self.probes.insert(sequence, Probe { target: node, sent_at: now, indirect: false });
             let packet = self.compose(sequence, PacketBody::Ping(node));
             actions.push(MembershipAction::Send(address, packet));
             return;
@@ -409,12 +387,8 @@
             self.ping_dead(node, address, actions);
         }
         let known: Vec<SocketAddr> = self.living().map(|r| r.control).collect();
-        let lost: Vec<SocketAddr> = self
-            .seeds
-            .iter()
-            .copied()
-            .filter(|s| !known.contains(s))
-            .collect();
+        let lost: Vec<SocketAddr> =
+            self.seeds.iter().copied().filter(|s| !known.contains(s)).collect();
         if !lost.is_empty() {
             let seed = lost[rng.random_range(0..lost.len())];
             self.ping_unwatched(ANY_NODE, seed, actions);
@@ -442,10 +416,7 @@
     }
 
     fn exchange(&mut self, now: Tick, from: SocketAddr, actions: &mut Vec<MembershipAction>) {
-        if self
-            .exchanged_at
-            .is_some_and(|at| now.since(at) < EXCHANGE_PERIOD)
-        {
+        if self.exchanged_at.is_some_and(|at| now.since(at) < EXCHANGE_PERIOD) {
             return;
         }
         self.exchanged_at = Some(now);
@@ -488,10 +459,7 @@
         if target == ANY_NODE {
             self.updates.push(self.own.node);
         }
-        let ack = Acknowledgement {
-            target,
-            responder: self.own.node,
-        };
+        let ack = Acknowledgement { target, responder: self.own.node };
         let packet = self.compose(sequence, PacketBody::Ack(ack));
         actions.push(MembershipAction::Send(from, packet));
     }
@@ -505,14 +473,7 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         let own_sequence = self.next_sequence();
-        self.relays.insert(
-            own_sequence,
-            Relay {
-                asker,
-                sequence,
-                sent_at: now,
-            },
-        );
+        self.relays.insert(own_sequence, Relay { asker, sequence, sent_at: now });
         let packet = self.compose(own_sequence, PacketBody::Ping(req.target));
         actions.push(MembershipAction::Send(req.address, packet));
     }
@@ -538,10 +499,7 @@
         if ack.responder != ack.target {
             // Another run of the process answers at the target's address: the target is gone.
             if let Some(member) = self.known.get(&ack.target) {
-                let record = MemberRecord {
-                    health: Health::Dead,
-                    ..member.record.clone()
-                };
+                let record = MemberRecord { health: Health::Dead, ..member.record.clone() };
                 self.merge(now, record, actions);
             }
             return;
@@ -584,28 +542,16 @@
             return;
         }
         if let Some(known) = known {
-            invariant!(
-                record.revision >= known.record.revision,
-                "member_revision_never_falls"
-            );
+            invariant!(record.revision >= known.record.revision, "member_revision_never_falls");
         }
         let revived = known.is_some_and(|m| m.record.health == Health::Dead);
         if revived && record.health == Health::Alive {
             // The end of a parting: each side missed what the other did.
             self.exchange(now, record.control, actions);
         }
-        self.known.insert(
-            node,
-            Member {
-                record,
-                changed_at: now,
-            },
-        );
+        self.known.insert(node, Member { record, changed_at: now });
         self.updates.push(node);
-        if !actions
-            .iter()
-            .any(|a| matches!(a, MembershipAction::Changed))
-        {
+        if !actions.iter().any(|a| matches!(a, MembershipAction::Changed)) {
             actions.push(MembershipAction::Changed);
         }
     }
@@ -619,8 +565,7 @@
     }
 
     fn neighbours(&self) -> impl Iterator<Item = &MemberRecord> {
-        self.records()
-            .filter(|r| r.region == self.own.region && r.health != Health::Dead)
+        self.records().filter(|r| r.region == self.own.region && r.health != Health::Dead)
     }
 
     fn compose(&mut self, sequence: u32, body: PacketBody) -> Packet {
@@ -628,19 +573,9 @@
         let (own, others) = (&self.own, &self.known);
         let updates = self.updates.take(size, |node| {
             let known = || others.get(&node).map(|m| m.record.clone());
-            if node == own.node {
-                Some(own.clone())
-            } else {
-                known()
-            }
+            if node == own.node { Some(own.clone()) } else { known() }
         });
-        Packet {
-            from: self.own.node,
-            sequence,
-            settings: self.settings_digest,
-            body,
-            updates,
-        }
+        Packet { from: self.own.node, sequence, settings: self.settings_digest, body, updates }
     }
 
     fn next_sequence(&mut self) -> u32 {
--- /dev/null
+++ b/pistachiolane/src/node/admin.rs
@@ -0,0 +1,214 @@
+//! The admin address: announcements of the upstream, operators' commands, metrics and dumps.
+
+use {
+    super::{
+        body::Body,
+        control_loop::ControlHandle,
+        operator::{ChangeReport, ChangeRequest, change, document},
+        responses,
+        shared::Shared,
+        status,
+    },
+    crate::{
+        config::{check_document, get_path},
+        invariants,
+        schema::Announcement,
+    },
+    http_body_util::{BodyExt, Limited},
+    hyper::{Method, Request, Response, StatusCode, body::Incoming, header, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    serde_json::{Value, json},
+    std::{convert::Infallible, sync::Arc, sync::atomic::Ordering, time::Duration},
+    tokio::{net::TcpListener, sync::mpsc},
+};
+
+/// Largest body of an admin request in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// Time for the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Header that names the version an operator saw.
+pub const IF_VERSION: &str = "if-version";
+
+/// The admin server of a node.
+#[derive(Clone, Debug)]
+pub struct Admin {
+    shared: Arc<Shared>,
+    control: ControlHandle,
+    announced: mpsc::Sender<Announcement>,
+}
+
+impl Admin {
+    /// A server that passes announcements on to `announced`.
+    pub fn new(
+        shared: Arc<Shared>,
+        control: ControlHandle,
+        announced: mpsc::Sender<Announcement>,
+    ) -> Self {
+        Self { shared, control, announced }
+    }
+
+    /// Accepts connections for the life of its task.
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            let Ok((socket, _)) = listener.accept().await else {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            let admin = self.clone();
+            let service = service_fn(move |req| {
+                let admin = admin.clone();
+                async move { Ok::<_, Infallible>(admin.request(req).await) }
+            });
+            tokio::spawn(async move {
+                let mut http = hyper::server::conn::http1::Builder::new();
+                http.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+                // A broken admin connection concerns nobody else.
+                let _ended = http.serve_connection(TokioIo::new(socket), service).await;
+            });
+        }
+    }
+
+    async fn request(self, req: Request<Incoming>) -> Response<Body> {
+        let method = req.method().clone();
+        let path = req.uri().path().to_owned();
+        let segments: Vec<&str> = path.split('/').filter(|s| !s.is_empty()).collect();
+        match (&method, segments.as_slice()) {
+            (&Method::GET, ["ready"]) => self.ready(),
+            (&Method::GET, ["metrics"]) => self.metrics(),
+            (&Method::GET, ["status"]) => {
+                responses::json(StatusCode::OK, &status::status(&self.shared, &self.control).await)
+            }
+            (&Method::GET, ["dump"]) => {
+                responses::json(StatusCode::OK, &status::dump(&self.shared, &self.control).await)
+            }
+            (&Method::POST, ["announce"]) => self.announce(req).await,
+            (&Method::GET, ["settings"]) => self.settings().await,
+            (&Method::GET, ["settings", subtree, rest @ ..]) => {
+                self.get(subtree, &rest.join("/")).await
+            }
+            (&Method::PUT | &Method::DELETE, ["settings", subtree, rest @ ..]) => {
+                self.change(req, subtree, &rest.join("/")).await
+            }
+            (&Method::POST, ["check", subtree]) => self.check(req, subtree).await,
+            _ => responses::text(StatusCode::NOT_FOUND, "no such page"),
+        }
+    }
+
+    fn ready(&self) -> Response<Body> {
+        let ready = self.shared.ready.load(Ordering::Relaxed) && !self.shared.draining();
+        let code = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        responses::text(code, if ready { "ready" } else { "not ready" })
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        let violations = i64::try_from(invariants::violations()).unwrap_or(i64::MAX);
+        self.shared.metrics.invariant_violations.set(violations);
+        self.shared.metrics.text().map_or_else(
+            |e| responses::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
+            |text| responses::text(StatusCode::OK, text),
+        )
+    }
+
+    async fn announce(&self, req: Request<Incoming>) -> Response<Body> {
+        let body = match read(req).await {
+            Ok(body) => body,
+            Err(res) => return res,
+        };
+        match serde_json::from_slice::<Announcement>(&body) {
+            Ok(announcement) if announcement.slots == 0 => {
+                responses::text(StatusCode::UNPROCESSABLE_ENTITY, "slots: expected at least 1")
+            }
+            Ok(announcement) => {
+                // The receiver lives as long as the node.
+                let _closed = self.announced.send(announcement).await;
+                responses::text(StatusCode::OK, "announced")
+            }
+            Err(e) => responses::text(StatusCode::UNPROCESSABLE_ENTITY, e.to_string()),
+        }
+    }
+
+    async fn settings(&self) -> Response<Body> {
+        let snapshot = self.control.snapshot().await;
+        let subtrees: Vec<Value> = snapshot
+            .iter()
+            .flat_map(|s| &s.subtrees)
+            .map(|s| json!({ "name": s.name, "version": s.version, "document": document(s) }))
+            .collect();
+        responses::json(StatusCode::OK, &json!({ "subtrees": subtrees }))
+    }
+
+    async fn get(&self, name: &str, path: &str) -> Response<Body> {
+        let snapshot = self.control.snapshot().await;
+        let subtree = snapshot.iter().flat_map(|s| &s.subtrees).find(|s| s.name.as_ref() == name);
+        let found = subtree.and_then(|s| {
+            let document = document(s);
+            let value = get_path(&document, path)?.clone();
+            Some(json!({ "version": s.version, "change": s.change, "value": value }))
+        });
+        found.map_or_else(
+            || responses::text(StatusCode::NOT_FOUND, format!("nothing at `{name}/{path}`")),
+            |found| responses::json(StatusCode::OK, &found),
+        )
+    }
+
+    async fn change(&self, req: Request<Incoming>, subtree: &str, path: &str) -> Response<Body> {
+        let removes = req.method() == Method::DELETE;
+        let if_version = header_text(&req, IF_VERSION).and_then(|v| v.parse().ok());
+        let bearer = header_text(&req, header::AUTHORIZATION.as_str());
+        let token = bearer.and_then(|v| v.strip_prefix("Bearer ").map(str::to_owned));
+        let body = match read(req).await {
+            Ok(body) => body,
+            Err(res) => return res,
+        };
+        let value = if removes {
+            None
+        } else {
+            match serde_json::from_slice(&body) {
+                Ok(value) => Some(value),
+                Err(e) => return responses::text(StatusCode::BAD_REQUEST, format!("no JSON: {e}")),
+            }
+        };
+        let path = path.to_owned();
+        let request = ChangeRequest { subtree: Arc::from(subtree), path, value, if_version, token };
+        let report = change(&self.shared, &self.control, request).await;
+        responses::json(report_status(&report), &report)
+    }
+
+    async fn check(&self, req: Request<Incoming>, subtree: &str) -> Response<Body> {
+        let body = match read(req).await {
+            Ok(body) => body,
+            Err(res) => return res,
+        };
+        let text = String::from_utf8_lossy(&body);
+        let root = self.shared.tree.load().root.clone();
+        let faults = check_document(subtree, &text, &root).err().unwrap_or_default();
+        let code =
+            if faults.is_empty() { StatusCode::OK } else { StatusCode::UNPROCESSABLE_ENTITY };
+        responses::json(code, &json!({ "faults": faults }))
+    }
+}
+
+fn report_status(report: &ChangeReport) -> StatusCode {
+    match report {
+        ChangeReport::Accepted { .. } => StatusCode::OK,
+        ChangeReport::Pending { .. } | ChangeReport::Unknown { .. } => StatusCode::ACCEPTED,
+        ChangeReport::Conflict { .. } => StatusCode::CONFLICT,
+        ChangeReport::Refused { .. } => StatusCode::UNPROCESSABLE_ENTITY,
+        ChangeReport::Forbidden => StatusCode::FORBIDDEN,
+        ChangeReport::NotWritten => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn header_text(req: &Request<Incoming>, name: &str) -> Option<String> {
+    req.headers().get(name)?.to_str().ok().map(str::to_owned)
+}
+
+async fn read(req: Request<Incoming>) -> Result<bytes::Bytes, Response<Body>> {
+    let limited = Limited::new(req.into_body(), MAX_BODY_BYTES);
+    let collected = limited.collect().await.map_err(|_e| {
+        responses::text(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large or ended early")
+    })?;
+    Ok(collected.to_bytes())
+}
--- /dev/null
+++ b/pistachiolane/src/node/error.rs
@@ -0,0 +1,18 @@
+//! Failures that keep a node from starting.
+
+use std::{io, net::SocketAddr};
+
+/// Why a node did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// An address could not be bound.
+    #[error("--{flag}: cannot listen on {address}: {source}")]
+    Bind {
+        /// Flag that names the address.
+        flag: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
--- /dev/null
+++ b/pistachiolane/src/node/headers.rs
@@ -0,0 +1,70 @@
+//! Headers of the system's own.
+
+use hyper::{HeaderMap, header::HeaderName};
+
+/// Prefix of all headers of the system.
+const PREFIX: &str = "pistachiolane-";
+
+/// Attempt, from entry to gate.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("pistachiolane-attempt");
+
+/// Load report, from gate to entry.
+pub const REPORT: HeaderName = HeaderName::from_static("pistachiolane-report");
+
+/// Reason of a gate's refusal, from gate to entry; its presence means that the attempt did not run.
+pub const REFUSED: HeaderName = HeaderName::from_static("pistachiolane-refused");
+
+/// Outcome of a call, to the caller: `answer`, `not-run` or `unknown`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("pistachiolane-outcome");
+
+/// Reason of an outcome other than an answer, to the caller.
+pub const REASON: HeaderName = HeaderName::from_static("pistachiolane-reason");
+
+/// Time budget in milliseconds, to the upstream and from nested callers.
+pub const BUDGET_MS: HeaderName = HeaderName::from_static("pistachiolane-budget-ms");
+
+/// Depth of nested calls, to the upstream and from nested callers.
+pub const DEPTH: HeaderName = HeaderName::from_static("pistachiolane-depth");
+
+/// Marks a request that repeats a failed one, to the upstream and from nested callers.
+pub const RETRIED: HeaderName = HeaderName::from_static("pistachiolane-retried");
+
+/// Path of a load probe at a gate.
+pub const PROBE_PATH: &str = "/pistachiolane/probe";
+
+/// Removes every header of the system.
+pub fn strip(headers: &mut HeaderMap) {
+    let own: Vec<HeaderName> =
+        headers.keys().filter(|k| k.as_str().starts_with(PREFIX)).cloned().collect();
+    for name in own {
+        headers.remove(name);
+    }
+}
+
+/// Removes the headers that belong to one connection only.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(hyper::header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let fixed = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    for name in fixed.iter().copied().chain(named.iter().map(String::as_str)) {
+        headers.remove(name);
+    }
+}
+
+/// A number in a header, if it is there and is one.
+pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/pistachiolane/src/node/hop.rs
@@ -0,0 +1,187 @@
+//! HTTP/2 connections from an entry to other nodes' gates.
+
+use {
+    super::{
+        body::{Body, full},
+        gate_server::{PING_INTERVAL, PING_TIMEOUT},
+    },
+    crate::schema::MemberRecord,
+    arc_swap::ArcSwapOption,
+    hyper::{
+        Request, Response, Uri,
+        body::Incoming,
+        client::conn::http2::{Builder, SendRequest},
+    },
+    hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
+    papaya::HashMap,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
+    tokio::{
+        net::TcpStream,
+        sync::Mutex,
+        time::{Duration, timeout},
+    },
+};
+
+/// Time for a new connection and its handshake.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Tries to send on a fresh connection when the present one has just closed.
+const SEND_TRIES: usize = 2;
+
+/// Receive window of a connection and of a stream in bytes.
+const WINDOW_BYTES: u32 = 1 << 20;
+
+/// Why a request to a gate has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum HopError {
+    /// Nothing of the request was sent.
+    #[error("the gate cannot be connected to")]
+    Unsent,
+    /// Something was sent over this connection, and no answer came.
+    #[error("the connection to the gate was lost")]
+    Lost,
+}
+
+/// One connection to a gate.
+#[derive(Debug)]
+pub struct HopConnection {
+    /// Its number; an entry's later connections have higher ones.
+    pub number: u64,
+    sender: SendRequest<Body>,
+}
+
+#[derive(Debug)]
+struct Hop {
+    address: SocketAddr,
+    current: ArcSwapOption<HopConnection>,
+    /// Held while connecting, never on the path of a request with an open connection.
+    connecting: Mutex<()>,
+}
+
+/// Connections to all gates, one each.
+#[derive(Debug, Default)]
+pub struct Hops {
+    gates: HashMap<u64, Arc<Hop>>,
+    numbers: AtomicU64,
+}
+
+impl Hops {
+    /// The open connection to a member's gate, made if there is none.
+    ///
+    /// # Errors
+    /// Fails when the gate cannot be connected to.
+    pub async fn connection(&self, member: &MemberRecord) -> Result<Arc<HopConnection>, HopError> {
+        let hop = Arc::clone(self.gates.pin().get_or_insert_with(member.node, || {
+            let connecting = Mutex::new(());
+            let current = ArcSwapOption::empty();
+            Arc::new(Hop { address: member.gate, current, connecting })
+        }));
+        if let Some(open) = hop.open() {
+            return Ok(open);
+        }
+        let _connecting = hop.connecting.lock().await;
+        if let Some(open) = hop.open() {
+            return Ok(open);
+        }
+        let number = self.numbers.fetch_add(1, Ordering::SeqCst) + 1;
+        let connection = Arc::new(connect(hop.address, number).await?);
+        hop.current.store(Some(Arc::clone(&connection)));
+        Ok(connection)
+    }
+
+    /// Sends a request, after `stamp` has been told the number of the connection that will carry it.
+    ///
+    /// # Errors
+    /// [`HopError::Unsent`] only if no byte of the request was sent.
+    pub async fn send(
+        &self,
+        member: &MemberRecord,
+        mut req: Request<Body>,
+        stamp: impl Fn(&mut Request<Body>, u64),
+    ) -> Result<Response<Incoming>, HopError> {
+        for _ in 0..SEND_TRIES {
+            let connection = self.connection(member).await?;
+            stamp(&mut req, connection.number);
+            let mut sender = connection.sender.clone();
+            let mut error = match sender.try_send_request(req).await {
+                Ok(res) => return Ok(res),
+                Err(error) => error,
+            };
+            self.forget(member.node, &connection);
+            req = error.take_message().ok_or(HopError::Lost)?;
+        }
+        Err(HopError::Unsent)
+    }
+
+    /// Drops a connection, so that the next request makes a new one; calls in flight on it fail or end.
+    pub fn retire(&self, node: u64, number: u64) {
+        if let Some(hop) = self.gates.pin().get(&node) {
+            hop.close_up_to(number);
+        }
+    }
+
+    /// Drops all connections to nodes for which `keep` does not hold.
+    pub fn retain(&self, keep: impl Fn(u64) -> bool) {
+        self.gates.pin().retain(|&node, _| keep(node));
+    }
+
+    /// Gates connected to.
+    pub fn len(&self) -> usize {
+        self.gates.len()
+    }
+
+    fn forget(&self, node: u64, connection: &HopConnection) {
+        if connection.sender.is_closed() {
+            self.retire(node, connection.number);
+        }
+    }
+}
+
+impl Hop {
+    fn open(&self) -> Option<Arc<HopConnection>> {
+        self.current.load_full().filter(|c| !c.sender.is_closed())
+    }
+
+    fn close_up_to(&self, number: u64) {
+        if self.current.load().as_ref().is_some_and(|c| c.number <= number) {
+            self.current.store(None);
+        }
+    }
+}
+
+async fn connect(address: SocketAddr, number: u64) -> Result<HopConnection, HopError> {
+    let made = timeout(CONNECT_TIMEOUT, async {
+        let socket = TcpStream::connect(address).await.ok()?;
+        socket.set_nodelay(true).ok()?;
+        let mut http = Builder::new(TokioExecutor::new());
+        http.timer(TokioTimer::new())
+            .keep_alive_interval(PING_INTERVAL)
+            .keep_alive_timeout(PING_TIMEOUT)
+            .keep_alive_while_idle(true)
+            .initial_stream_window_size(WINDOW_BYTES)
+            .initial_connection_window_size(WINDOW_BYTES * 16);
+        http.handshake(TokioIo::new(socket)).await.ok()
+    });
+    let (sender, connection) = made.await.ok().flatten().ok_or(HopError::Unsent)?;
+    tokio::spawn(async move {
+        // The requests on it learn of its end by their own errors.
+        let _ended = connection.await;
+    });
+    Ok(HopConnection { number, sender })
+}
+
+/// A request for a gate's load report.
+pub fn probe_request(member: &MemberRecord, path: &str) -> Option<Request<Body>> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(member.gate.to_string())
+        .path_and_query(path)
+        .build();
+    Request::get(uri.ok()?).body(full("")).ok()
+}
--- /dev/null
+++ b/pistachiolane/src/node/queue_task.rs
@@ -0,0 +1,108 @@
+//! The task that owns a gate's queue.
+
+use {
+    super::shared::Shared,
+    crate::{
+        limits::{Queued, WaitQueue},
+        tick::Tick,
+    },
+    std::sync::Arc,
+    tokio::{
+        sync::{Notify, mpsc, oneshot},
+        time::{Duration, sleep},
+    },
+};
+
+/// Time between two looks for expired attempts while anything queues.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(5);
+
+/// What a queued attempt is told.
+#[derive(Debug)]
+pub enum QueueVerdict {
+    /// A slot was taken for it.
+    Run(SlotGuard),
+    /// Its time ended in the queue.
+    Expired,
+}
+
+/// A queued attempt; the gate has taken a place for it.
+#[derive(Debug)]
+pub struct QueueItem {
+    /// Service of the caller, for fairness.
+    pub caller: Arc<str>,
+    /// Time after which it is not run.
+    pub deadline: Tick,
+    /// Where the verdict goes; closed when the attempt was cancelled.
+    pub reply: oneshot::Sender<QueueVerdict>,
+}
+
+/// Gives back the slot of a request when dropped.
+#[derive(Debug)]
+pub struct SlotGuard {
+    shared: Arc<Shared>,
+}
+
+impl SlotGuard {
+    /// A guard of a slot that was taken.
+    pub fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl Drop for SlotGuard {
+    fn drop(&mut self) {
+        self.shared.gate.finish();
+        if self.shared.gate.has_queue() {
+            self.shared.queue.wake.notify_one();
+        }
+    }
+}
+
+/// Handle to the queue's task.
+#[derive(Debug)]
+pub struct QueueHandle {
+    items: mpsc::UnboundedSender<QueueItem>,
+    wake: Notify,
+}
+
+impl QueueHandle {
+    /// A handle and the receiving end for [`run_queue`]. The gate bounds what is sent.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<QueueItem>) {
+        let (items, rx) = mpsc::unbounded_channel();
+        (Self { items, wake: Notify::new() }, rx)
+    }
+
+    /// Hands over an attempt.
+    pub fn push(&self, item: QueueItem) {
+        // The receiver lives as long as the node; a closed channel drops the reply, which refuses.
+        let _closed = self.items.send(item);
+    }
+}
+
+/// Runs the queue until the node's last handle is gone.
+pub async fn run_queue(shared: Arc<Shared>, mut items: mpsc::UnboundedReceiver<QueueItem>) {
+    let mut queue = WaitQueue::default();
+    loop {
+        tokio::select! {
+            item = items.recv() => match item {
+                Some(item) => queue.push(Arc::clone(&item.caller), item.deadline, item),
+                None => return,
+            },
+            () = shared.queue.wake.notified() => {}
+            () = sleep(EXPIRY_INTERVAL), if !queue.is_empty() => {}
+        }
+        grant(&shared, &mut queue);
+    }
+}
+
+fn grant(shared: &Arc<Shared>, queue: &mut WaitQueue<QueueItem>) {
+    let gone = |item: &QueueItem| item.reply.is_closed();
+    while let Some(next) = queue.next(shared.now(), &shared.gate, gone) {
+        let (item, verdict) = match next {
+            Queued::Run(item) => (item, QueueVerdict::Run(SlotGuard::new(Arc::clone(shared)))),
+            Queued::Expired(item) => (item, QueueVerdict::Expired),
+        };
+        // A verdict that nobody takes gives its slot back by its guard.
+        let _unclaimed = item.reply.send(verdict);
+    }
+}
--- /dev/null
+++ b/pistachiolane/src/node/status.rs
@@ -0,0 +1,157 @@
+//! What a node tells of itself: a status of one screen, and a dump of its whole state.
+
+use {
+    super::{control_loop::ControlHandle, shared::Shared},
+    crate::{
+        config::ROOT,
+        invariants,
+        metrics::Metrics,
+        routing::{Estimate, ServiceMean, ServiceTable},
+        schema::{GateState, Health},
+    },
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, atomic::Ordering},
+    },
+};
+
+/// Status of the node and the fleet as the node sees it.
+pub async fn status(shared: &Shared, control: &ControlHandle) -> Value {
+    let Some(snapshot) = control.snapshot().await else {
+        return Value::Null;
+    };
+    let mut regions: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
+    for member in &snapshot.members {
+        let health = health_name(member.health);
+        *regions.entry(&member.region).or_default().entry(health).or_default() += 1;
+    }
+    let table = shared.table.load();
+    let services: BTreeMap<&str, Value> =
+        table.services().map(|s| (s.name.as_ref(), service_status(shared, s))).collect();
+    let versions: BTreeMap<&str, u64> =
+        snapshot.subtrees.iter().map(|s| (s.name.as_ref(), s.version)).collect();
+    json!({
+        "node": format!("{:016x}", shared.node),
+        "region": shared.settings.region,
+        "zone": shared.settings.zone,
+        "ready": shared.ready.load(Ordering::Relaxed),
+        "draining": shared.draining(),
+        "members": regions,
+        "services": services,
+        "settings": versions,
+        "invariant_violations": invariants::violations(),
+    })
+}
+
+/// The whole state of the node.
+pub async fn dump(shared: &Shared, control: &ControlHandle) -> Value {
+    let snapshot = control.snapshot().await;
+    let members: Vec<Value> = snapshot
+        .iter()
+        .flat_map(|s| &s.members)
+        .map(|m| serde_json::to_value(m).unwrap_or_default())
+        .collect();
+    let table = shared.table.load();
+    let routing: BTreeMap<&str, Value> =
+        table.services().map(|s| (s.name.as_ref(), routing_state(shared, s))).collect();
+    json!({
+        "status": status(shared, control).await,
+        "gate": gate_state(shared),
+        "routing": routing,
+        "members": members,
+        "waiting_updates": snapshot.as_ref().map(|s| s.waiting_updates),
+        "hops": shared.hops.len(),
+        "attempts": shared.attempts.load(Ordering::Relaxed),
+        "budgets": {
+            "probes_granted": shared.probes.granted(),
+            "paid_bytes_granted": shared.paid.granted(),
+        },
+        "calls": {
+            "answer": Metrics::get(&shared.metrics.calls, "answer"),
+            "not_run": Metrics::get(&shared.metrics.calls, "not-run"),
+            "unknown": Metrics::get(&shared.metrics.calls, "unknown"),
+            "rejected": Metrics::get(&shared.metrics.calls, "rejected"),
+        },
+        "root": snapshot.iter().flat_map(|s| &s.subtrees).find(|s| s.name.as_ref() == ROOT)
+            .map(|s| s.version),
+    })
+}
+
+fn service_status(shared: &Shared, service: &Arc<ServiceTable>) -> Value {
+    let now = shared.now();
+    let usable = service.candidates.iter().filter(|c| c.is_usable(now)).count();
+    let ejected = service.candidates.iter().filter(|c| c.is_ejected(now)).count();
+    let declared = shared.tree.load().service(&service.name).is_some();
+    json!({
+        "upstreams": service.candidates.len(),
+        "usable": usable,
+        "ejected": ejected,
+        "declared": declared,
+        "retries_available": service.state.retries.available(),
+    })
+}
+
+fn routing_state(shared: &Shared, service: &ServiceTable) -> Value {
+    let now = shared.now();
+    let mean = ServiceMean::of(service.candidates.iter().map(AsRef::as_ref));
+    let upstreams: Vec<Value> = service
+        .candidates
+        .iter()
+        .map(|c| {
+            let report = c.last_report();
+            let estimate = Estimate::new(now, c, &mean);
+            json!({
+                "node": format!("{:016x}", c.member.node),
+                "gate": c.member.gate,
+                "distance": format!("{:?}", c.distance),
+                "usable": c.is_usable(now),
+                "suspect": c.is_suspect(),
+                "ejected": c.is_ejected(now),
+                "slow_start": c.is_in_slow_start(now),
+                "outstanding": c.outstanding(),
+                "report_age_ms": c.report_age(now).map(|age| age.as_millis() as u64),
+                "slots": report.slots,
+                "running": report.running,
+                "queued": report.queued,
+                "latency_us": report.latency_us,
+                "state": state_name(report.state),
+                "link_us": crate::tick::micros(c.link()),
+                "expected_completion_us": estimate.completion_us.round(),
+            })
+        })
+        .collect();
+    let hedge_us = service.state.hedge_after.get().map(crate::tick::micros);
+    json!({ "hedge_after_us": hedge_us, "upstreams": upstreams })
+}
+
+fn gate_state(shared: &Shared) -> Value {
+    let report = shared.gate.report(shared.now());
+    json!({
+        "upstream": shared.upstream.load_full().as_deref(),
+        "running": report.running,
+        "queued": report.queued,
+        "slots": report.slots,
+        "latency_us": report.latency_us,
+        "state": state_name(report.state),
+        "ledger": shared.ledger.len(),
+    })
+}
+
+fn health_name(health: Health) -> &'static str {
+    match health {
+        Health::Alive => "alive",
+        Health::Draining => "draining",
+        Health::Suspect => "suspect",
+        Health::Dead => "dead",
+    }
+}
+
+fn state_name(state: GateState) -> &'static str {
+    match state {
+        GateState::Ready => "ready",
+        GateState::Warming => "warming",
+        GateState::Draining => "draining",
+        GateState::Shedding => "shedding",
+    }
+}
--- a/pistachiolane/src/routing/candidate.rs
+++ b/pistachiolane/src/routing/candidate.rs
@@ -7,7 +7,7 @@
         tick::{Tick, micros},
     },
     std::{
-        sync::atomic::{AtomicBool, AtomicU8, AtomicU32, AtomicU64, Ordering},
+        sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering},
         time::Duration,
     },
 };
@@ -21,6 +21,9 @@
 /// Time after an ejection during which the upstream gets less work.
 const SLOW_START: Duration = Duration::from_secs(5);
 
+/// Time during which a gate that could not be connected to gets nothing.
+const REFUSED_TIME: Duration = Duration::from_secs(1);
+
 /// Smoothing of the link's round trip, as a divisor.
 const LINK_SMOOTHING: u64 = 8;
 
@@ -55,16 +58,14 @@
     link_us: AtomicU64,
     ejected_until: AtomicU64,
     ejections: AtomicU32,
-    refused_connection: AtomicBool,
+    refused_until: AtomicU64,
+    probed_at: AtomicU64,
 }
 
 impl Candidate {
     /// A candidate of which nothing is known yet.
     pub fn new(member: MemberRecord, distance: Distance, slots: u16) -> Self {
-        let empty = LoadReport {
-            slots,
-            ..LoadReport::default()
-        };
+        let empty = LoadReport { slots, ..LoadReport::default() };
         Self {
             health: AtomicU8::new(member.health as u8),
             member,
@@ -79,7 +80,8 @@
             link_us: AtomicU64::new(micros(distance.initial_round_trip())),
             ejected_until: AtomicU64::new(0),
             ejections: AtomicU32::new(0),
-            refused_connection: AtomicBool::new(false),
+            refused_until: AtomicU64::new(0),
+            probed_at: AtomicU64::new(0),
         }
     }
 
@@ -93,7 +95,7 @@
         self.latency_us.store(report.latency_us, Ordering::Release);
         self.sent_since_report.store(0, Ordering::Release);
         self.reported_at.store(now.0, Ordering::Release);
-        self.refused_connection.store(false, Ordering::Relaxed);
+        self.refused_until.store(0, Ordering::Relaxed);
         true
     }
 
@@ -114,9 +116,15 @@
         }
     }
 
-    /// Notes that the gate's host refused a connection: it is gone until it reports again.
-    pub fn connection_refused(&self) {
-        self.refused_connection.store(true, Ordering::Relaxed);
+    /// Notes that the gate could not be connected to: it gets nothing for a while, or until it reports.
+    pub fn connection_refused(&self, now: Tick) {
+        self.refused_until.store((now + REFUSED_TIME).0, Ordering::Relaxed);
+    }
+
+    /// Claims a probe: `false` if another was sent within `interval`.
+    pub fn claim_probe(&self, now: Tick, interval: Duration) -> bool {
+        let claim = |last: u64| (now.since(Tick(last)) >= interval || last == 0).then_some(now.0);
+        self.probed_at.fetch_update(Ordering::AcqRel, Ordering::Acquire, claim).is_ok()
     }
 
     /// Takes a measured round trip to the gate.
@@ -155,11 +163,15 @@
     }
 
     /// Whether the gate may take new work at all.
-    pub fn is_usable(&self) -> bool {
-        let draining = self.state() == GateState::Draining;
+    pub fn is_usable(&self, now: Tick) -> bool {
+        !self.is_gone() && now.0 >= self.refused_until.load(Ordering::Relaxed)
+    }
+
+    /// Whether the gate drains or its node is dead.
+    pub fn is_gone(&self) -> bool {
         let health = self.health.load(Ordering::Relaxed);
-        let gone = health == Health::Draining as u8 || health == Health::Dead as u8;
-        !gone && !draining && !self.refused_connection.load(Ordering::Relaxed)
+        let dead = health == Health::Draining as u8 || health == Health::Dead as u8;
+        dead || self.state() == GateState::Draining
     }
 
     /// Whether gossip suspects the member to be dead.
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -60,15 +60,9 @@
             count += 1.0;
         }
         if count == 0.0 {
-            return Self {
-                utilisation: 0.0,
-                latency_us: micros(DEFAULT_LATENCY) as f64,
-            };
-        }
-        Self {
-            utilisation: utilisation / count,
-            latency_us: latency / count,
+            return Self { utilisation: 0.0, latency_us: micros(DEFAULT_LATENCY) as f64 };
         }
+        Self { utilisation: utilisation / count, latency_us: latency / count }
     }
 }
 
@@ -89,11 +83,7 @@
         let latency = latency_us(now, candidate, mean, fresh(LATENCY_DECAY));
         let load = (expected + 1.0) / slots;
         // Below full the slots are parallel; a small slope spreads load over equals.
-        let factor = if load <= 1.0 {
-            1.0 + 0.2 * load * load
-        } else {
-            0.2 + load
-        };
+        let factor = if load <= 1.0 { 1.0 + 0.2 * load * load } else { 0.2 + load };
         Self {
             completion_us: latency * factor + micros(candidate.link()) as f64,
             utilisation: expected / slots,
@@ -111,25 +101,13 @@
 
 fn slow_start(now: Tick, candidate: &Candidate, slots: f64) -> f64 {
     let cold = candidate.state() == GateState::Warming || candidate.is_in_slow_start(now);
-    if cold {
-        slots * SLOW_START_OCCUPANCY
-    } else {
-        0.0
-    }
+    if cold { slots * SLOW_START_OCCUPANCY } else { 0.0 }
 }
 
 fn latency_us(now: Tick, candidate: &Candidate, mean: &ServiceMean, weight: f64) -> f64 {
     let reported = f64::from(candidate.last_report().latency_us);
-    let known = if reported == 0.0 {
-        mean.latency_us
-    } else {
-        reported
-    };
+    let known = if reported == 0.0 { mean.latency_us } else { reported };
     let expected = weight * known + (1.0 - weight) * mean.latency_us;
     let silence = micros(candidate.silence(now)) as f64;
-    if silence > SILENCE_FACTOR * expected {
-        expected + silence
-    } else {
-        expected
-    }
+    if silence > SILENCE_FACTOR * expected { expected + silence } else { expected }
 }
--- a/pistachiolane/src/routing/mod.rs
+++ b/pistachiolane/src/routing/mod.rs
@@ -4,6 +4,7 @@
 mod distance;
 mod estimate;
 mod pick;
+mod probe;
 mod service_table;
 mod table;
 
@@ -12,6 +13,7 @@
     distance::Distance,
     estimate::{Estimate, ServiceMean},
     pick::{Pick, PickRequest, pick},
+    probe::{ProbeBudget, STALE_AFTER, next_probe},
     service_table::{ServiceState, ServiceTable},
     table::RoutingTable,
 };
--- a/pistachiolane/src/routing/pick.rs
+++ b/pistachiolane/src/routing/pick.rs
@@ -39,7 +39,7 @@
 /// one is left. The entry's guess may be wrong: only the gate admits.
 pub fn pick<R: Rng>(table: &ServiceTable, req: PickRequest<'_>, rng: &mut R) -> Option<Pick> {
     let looked_at = sample(table, rng);
-    let open = |c: &&Arc<Candidate>| c.is_usable() && !req.tried.contains(&c.member.node);
+    let open = |c: &&Arc<Candidate>| c.is_usable(req.now) && !req.tried.contains(&c.member.node);
     let usable: Vec<&Arc<Candidate>> = looked_at.into_iter().filter(open).collect();
     let healthy = |c: &&Arc<Candidate>| {
         !c.is_ejected(req.now) && !c.is_suspect() && c.state() != GateState::Shedding
@@ -58,9 +58,7 @@
     }
     let start = rng.random_range(0..all.len());
     // A window of a table in node order, which is random with respect to load and place.
-    (0..MAX_LOOKED_AT)
-        .map(|i| &all[(start + i) % all.len()])
-        .collect()
+    (0..MAX_LOOKED_AT).map(|i| &all[(start + i) % all.len()]).collect()
 }
 
 fn near(from: Vec<&Arc<Candidate>>, may_spill: bool) -> Vec<&Arc<Candidate>> {
@@ -68,9 +66,7 @@
     if may_spill || !any_near {
         return from;
     }
-    from.into_iter()
-        .filter(|c| c.distance != Distance::Remote)
-        .collect()
+    from.into_iter().filter(|c| c.distance != Distance::Remote).collect()
 }
 
 fn lowest<R: Rng>(
@@ -80,14 +76,8 @@
     rng: &mut R,
 ) -> Option<Pick> {
     let estimates: Vec<Estimate> = from.iter().map(|c| Estimate::new(now, c, mean)).collect();
-    let best = estimates
-        .iter()
-        .map(|e| e.completion_us)
-        .fold(f64::INFINITY, f64::min);
-    let ties = estimates
-        .iter()
-        .filter(|e| e.completion_us <= best * TIE_RATIO)
-        .count();
+    let best = estimates.iter().map(|e| e.completion_us).fold(f64::INFINITY, f64::min);
+    let ties = estimates.iter().filter(|e| e.completion_us <= best * TIE_RATIO).count();
     if ties == 0 {
         return None;
     }
@@ -96,8 +86,5 @@
         .zip(estimates)
         .filter(|(_, e)| e.completion_us <= best * TIE_RATIO)
         .nth(chosen)
-        .map(|(c, estimate)| Pick {
-            candidate: Arc::clone(c),
-            estimate,
-        })
+        .map(|(c, estimate)| Pick { candidate: Arc::clone(c), estimate })
 }
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -29,10 +29,7 @@
 
 impl Default for ServiceState {
     fn default() -> Self {
-        Self {
-            retries: RetryBudget::default(),
-            hedge_after: Quantile::new(HEDGE_PERMILLE),
-        }
+        Self { retries: RetryBudget::default(), hedge_after: Quantile::new(HEDGE_PERMILLE) }
     }
 }
 
@@ -50,11 +47,7 @@
 impl ServiceTable {
     /// A table of given upstreams.
     pub fn new(name: Arc<str>, candidates: Vec<Arc<Candidate>>, state: Arc<ServiceState>) -> Self {
-        Self {
-            name,
-            candidates,
-            state,
-        }
+        Self { name, candidates, state }
     }
 
     /// The candidate of a node.
@@ -66,12 +59,8 @@
     ///
     /// At most a third of the upstreams are out at any time.
     pub fn eject_stragglers(&self, now: Tick) -> Vec<Arc<Candidate>> {
-        let mut latencies: Vec<u32> = self
-            .candidates
-            .iter()
-            .map(|c| c.last_report().latency_us)
-            .filter(|&l| l > 0)
-            .collect();
+        let mut latencies: Vec<u32> =
+            self.candidates.iter().map(|c| c.last_report().latency_us).filter(|&l| l > 0).collect();
         if latencies.len() < MAX_EJECTED_DIVISOR {
             return Vec::new();
         }
--- a/pistachiolane/src/routing/table.rs
+++ b/pistachiolane/src/routing/table.rs
@@ -32,19 +32,15 @@
                 let candidate =
                     known.map_or_else(|| new_candidate(own, member, upstream.slots), Arc::clone);
                 candidate.set_health(member.health);
-                by_service
-                    .entry(&upstream.service)
-                    .or_default()
-                    .push(candidate);
+                by_service.entry(&upstream.service).or_default().push(candidate);
             }
         }
         let services = by_service
             .into_iter()
             .map(|(name, candidates)| {
-                let state = previous.service(name).map_or_else(
-                    || Arc::new(ServiceState::default()),
-                    |t| Arc::clone(&t.state),
-                );
+                let state = previous
+                    .service(name)
+                    .map_or_else(|| Arc::new(ServiceState::default()), |t| Arc::clone(&t.state));
                 let table = ServiceTable::new(Arc::clone(name), candidates, state);
                 (Arc::clone(name), Arc::new(table))
             })
--- a/pistachiolane/src/schema/wire.rs
+++ b/pistachiolane/src/schema/wire.rs
@@ -34,9 +34,7 @@
 
 impl fmt::Debug for FleetKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("FleetKey")
-            .field("keys", &self.keys.len())
-            .finish_non_exhaustive()
+        f.debug_struct("FleetKey").field("keys", &self.keys.len()).finish_non_exhaustive()
     }
 }
 
@@ -62,10 +60,7 @@
     /// # Errors
     /// Fails when no key of the fleet made the tag.
     pub fn open<'a>(&self, sealed: &'a [u8]) -> Result<&'a [u8], WireError> {
-        let at = sealed
-            .len()
-            .checked_sub(TAG_BYTES)
-            .ok_or(WireError::Malformed)?;
+        let at = sealed.len().checked_sub(TAG_BYTES).ok_or(WireError::Malformed)?;
         let (message, given) = sealed.split_at(at);
         let mut padded = [0; 32];
         padded[..TAG_BYTES].copy_from_slice(given);
@@ -75,11 +70,7 @@
             // `blake3::Hash` compares in constant time.
             blake3::Hash::from_bytes(expected) == blake3::Hash::from_bytes(padded)
         });
-        if matches {
-            Ok(message)
-        } else {
-            Err(WireError::NotAuthenticated)
-        }
+        if matches { Ok(message) } else { Err(WireError::NotAuthenticated) }
     }
 
     /// Encodes a gossip packet with its tag.
@@ -118,9 +109,7 @@
 /// # Errors
 /// Fails when the value is not base64 or not the message.
 pub fn decode_header<T: DeserializeOwned>(value: &[u8]) -> Result<T, WireError> {
-    let bytes = URL_SAFE_NO_PAD
-        .decode(value)
-        .map_err(|_e| WireError::Malformed)?;
+    let bytes = URL_SAFE_NO_PAD.decode(value).map_err(|_e| WireError::Malformed)?;
     postcard::from_bytes(&bytes).map_err(malformed)
 }
 
--- /dev/null
+++ b/pistachiolane/src/settings/process.rs
@@ -0,0 +1,161 @@
+//! The settings of a node's process: gathered, defaulted and checked together.
+
+use {
+    crate::schema::FleetKey,
+    std::{fmt, net::SocketAddr, str::FromStr, sync::Arc},
+};
+
+/// Prefix of the environment variables; the flag's name follows in capitals.
+const ENV_PREFIX: &str = "PISTACHIOLANE_";
+
+/// Secret used when none is set; it keeps accidents apart, not attackers.
+const DEFAULT_SECRET: &str = "pistachiolane";
+
+/// Longest name of a region or an availability zone in bytes.
+const MAX_NAME_BYTES: usize = 64;
+
+/// Checked settings of a node's process.
+#[derive(Clone, Debug)]
+pub struct ProcessSettings {
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address at which other nodes hand over requests (HTTP/2).
+    pub gate_listen: SocketAddr,
+    /// Address for other nodes' control messages (TCP and UDP).
+    pub control_listen: SocketAddr,
+    /// Address for the upstream, operators and metrics.
+    pub admin_listen: SocketAddr,
+    /// Base URL of the platform's object API.
+    pub platform: Arc<str>,
+    /// Region of the host.
+    pub region: Arc<str>,
+    /// Availability zone of the host.
+    pub zone: Arc<str>,
+    /// Control addresses of nodes to join.
+    pub seeds: Vec<SocketAddr>,
+    /// Keys that authenticate nodes to each other.
+    pub fleet_key: FleetKey,
+}
+
+/// Where settings come from: a flag's value, and the environment's.
+pub struct SettingsSource<'a> {
+    /// Value of a flag, by its name with hyphens.
+    pub flag: &'a dyn Fn(&str) -> Option<String>,
+    /// Value of an environment variable.
+    pub env: &'a dyn Fn(&str) -> Option<String>,
+}
+
+impl fmt::Debug for SettingsSource<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("SettingsSource").finish_non_exhaustive()
+    }
+}
+
+/// All faults of the settings, each naming its flag.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{}", .faults.join("\n"))]
+pub struct SettingsError {
+    /// One line for each fault.
+    pub faults: Vec<String>,
+}
+
+struct Reader<'a> {
+    source: &'a SettingsSource<'a>,
+    faults: Vec<String>,
+}
+
+impl ProcessSettings {
+    /// Reads and checks all settings; flags win over the environment, and the environment over defaults.
+    ///
+    /// # Errors
+    /// Gives every fault at once.
+    pub fn new(source: &SettingsSource<'_>) -> Result<Self, SettingsError> {
+        let mut reader = Reader { source, faults: Vec::new() };
+        let settings = Self {
+            listen: reader.address("listen", "127.0.0.1:8080"),
+            gate_listen: reader.address("gate-listen", "127.0.0.1:8081"),
+            control_listen: reader.address("control-listen", "127.0.0.1:8082"),
+            admin_listen: reader.address("admin-listen", "127.0.0.1:8083"),
+            platform: reader.url("platform", "http://127.0.0.1:8090"),
+            region: reader.name("region", "local"),
+            zone: reader.name("zone", "local-1"),
+            seeds: reader.addresses("seeds"),
+            fleet_key: FleetKey::new(&reader.text("fleet-key", DEFAULT_SECRET)),
+        };
+        settings.check_distinct(&mut reader.faults);
+        if reader.faults.is_empty() {
+            Ok(settings)
+        } else {
+            Err(SettingsError { faults: reader.faults })
+        }
+    }
+
+    fn check_distinct(&self, faults: &mut Vec<String>) {
+        let listens = [
+            ("listen", self.listen),
+            ("gate-listen", self.gate_listen),
+            ("control-listen", self.control_listen),
+            ("admin-listen", self.admin_listen),
+        ];
+        for (at, (name, address)) in listens.iter().enumerate() {
+            if address.ip().is_unspecified() && matches!(*name, "gate-listen" | "control-listen") {
+                faults.push(format!(
+                    "--{name}: other nodes cannot reach {address}; name the host's IP"
+                ));
+            }
+            for (other, _) in listens[..at].iter().filter(|(_, a)| a == address) {
+                faults.push(format!("--{name}: {address} is taken by --{other}"));
+            }
+        }
+    }
+}
+
+impl Reader<'_> {
+    fn text(&self, name: &str, default: &str) -> String {
+        let variable = format!("{ENV_PREFIX}{}", name.replace('-', "_").to_uppercase());
+        (self.source.flag)(name)
+            .or_else(|| (self.source.env)(&variable))
+            .unwrap_or_else(|| default.to_owned())
+    }
+
+    fn address(&mut self, name: &str, default: &str) -> SocketAddr {
+        let text = self.text(name, default);
+        self.parse(name, &text, "an IP address and port such as 10.0.0.7:8080")
+            .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
+    fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
+        let text = self.text(name, "");
+        let parts = text.split(',').map(str::trim).filter(|p| !p.is_empty());
+        parts
+            .filter_map(|p| self.parse(name, p, "IP addresses and ports, separated by commas"))
+            .collect()
+    }
+
+    fn name(&mut self, name: &str, default: &str) -> Arc<str> {
+        let text = self.text(name, default);
+        if text.is_empty() || text.len() > MAX_NAME_BYTES {
+            self.faults.push(format!("--{name}: expected 1 to {MAX_NAME_BYTES} bytes"));
+        }
+        Arc::from(text)
+    }
+
+    fn url(&mut self, name: &str, default: &str) -> Arc<str> {
+        let text = self.text(name, default);
+        let is_http = text
+            .parse::<hyper::Uri>()
+            .is_ok_and(|u| u.scheme_str() == Some("http") && u.authority().is_some());
+        if !is_http {
+            self.faults.push(format!("--{name}: `{text}` is no URL such as http://10.0.0.1:8090"));
+        }
+        Arc::from(text.trim_end_matches('/'))
+    }
+
+    fn parse<T: FromStr>(&mut self, name: &str, text: &str, expected: &str) -> Option<T> {
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.faults.push(format!("--{name}: `{text}` is not {expected}"));
+        }
+        parsed
+    }
+}
