--- a/pistachiolane/src/schema/mod.rs
+++ b/pistachiolane/src/schema/mod.rs
@@ -1,8 +1,10 @@
 //! Messages and settings: types generated from `schema/`, and the hot ones written by hand.
 
 #[allow(clippy::all, clippy::pedantic, missing_docs, reason = "generated code")]
+#[rustfmt::skip]
 mod generated_messages;
 #[allow(clippy::all, clippy::pedantic, missing_docs, reason = "generated code")]
+#[rustfmt::skip]
 mod generated_settings;
 mod load_report;
 mod wire;
