--- /dev/null
+++ b/lab/src/cli/mod.rs
@@ -0,0 +1,7 @@
+//! Arguments and commands of the lab.
+
+mod args;
+mod run;
+mod stand_ins;
+
+pub use run::run;
--- /dev/null
+++ b/lab/src/cli/run.rs
@@ -0,0 +1,54 @@
+//! Runs the lab's commands.
+
+use {
+    super::{
+        args::{Args, Command},
+        stand_ins,
+    },
+    crate::{codegen, demo, report::Report},
+    gumdrop::Options,
+    std::{fmt::Display, path::Path, process::ExitCode},
+};
+
+/// Runs the command that the arguments name.
+pub fn run() -> ExitCode {
+    match Args::parse_args_default_or_exit().command {
+        None => {
+            println!("{}\n\n{}", Args::usage(), Args::command_list().unwrap_or_default());
+            ExitCode::from(2)
+        }
+        Some(Command::Schema(args)) => finish(codegen::run(Path::new("."), args.check)),
+        Some(Command::Platform(args)) => finish(block_on(stand_ins::platform(&args))),
+        Some(Command::Upstream(args)) => finish(block_on(stand_ins::upstream(&args))),
+        Some(Command::Load(args)) => finish_report(args.json, block_on(stand_ins::load(&args))),
+        Some(Command::Demo(args)) => finish_report(args.json, block_on(demo::run(args.seed))),
+    }
+}
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.unwrap_or_else(|e| panic!("cannot start threads: {e}")).block_on(future)
+}
+
+fn finish<E: Display>(result: Result<(), E>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn finish_report<E: Display>(json: bool, report: Result<Report, E>) -> ExitCode {
+    match report {
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+        Ok(report) => {
+            println!("{}", if json { report.json().to_string() } else { report.table() });
+            if report.held() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/cli/stand_ins.rs
@@ -0,0 +1,67 @@
+//! Stand-ins and load as processes of their own.
+
+use {
+    super::args::{LoadArgs, PlatformArgs, UpstreamArgs},
+    crate::{
+        demo,
+        load::{self, LoadSpec},
+        report::{Check, Report},
+        stand_in::{PlatformStandIn, UpstreamBehaviour, UpstreamStandIn},
+    },
+    hyper::Method,
+    std::{
+        io,
+        net::AddrParseError,
+        sync::{Arc, RwLock},
+        time::Duration,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Runs the platform until the process ends.
+///
+/// # Errors
+/// Fails when the address cannot be bound.
+pub async fn platform(args: &PlatformArgs) -> io::Result<()> {
+    let platform = PlatformStandIn::new();
+    let address = platform.start(args.listen, CancellationToken::new()).await?;
+    println!("platform on {address}");
+    std::future::pending().await
+}
+
+/// Runs an upstream until the process ends.
+///
+/// # Errors
+/// Fails when the address cannot be bound.
+pub async fn upstream(args: &UpstreamArgs) -> io::Result<()> {
+    let upstream = UpstreamStandIn::new(UpstreamBehaviour {
+        service: Arc::from(args.service.as_str()),
+        slots: args.slots,
+        mean: Duration::from_millis(args.mean_ms),
+        cold: Duration::ZERO,
+    });
+    let address = upstream.start(args.listen, args.node, CancellationToken::new()).await?;
+    println!("upstream of {} on {address}", args.service);
+    std::future::pending().await
+}
+
+/// Sends load and checks every answer.
+///
+/// # Errors
+/// Fails when an entry's address cannot be read.
+pub async fn load(args: &LoadArgs) -> Result<Report, AddrParseError> {
+    let entries = args.entries.split(',').map(str::parse).collect::<Result<Vec<_>, _>>()?;
+    let spec = LoadSpec {
+        service: Arc::from(args.service.as_str()),
+        method: if args.post { Method::POST } else { Method::GET },
+        path: Arc::from(args.path.as_str()),
+        rate: args.rate,
+        duration: Duration::from_secs(args.seconds),
+    };
+    let result = load::run(spec, Arc::new(RwLock::new(entries)), args.seed).await;
+    let mut report = Report::new("load", args.seed);
+    demo::stream(&mut report, "requests", &result);
+    report.check(Check::at_most("foreign answers", 0.0, result.counts.foreign as f64));
+    report.check(Check::at_most("requests cut", 0.0, result.counts.cut as f64));
+    Ok(report)
+}
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -53,16 +53,9 @@
 
 /// Settings of the demonstration's fleet.
 pub fn settings() -> Vec<(&'static str, Value)> {
-    let root = json!({
-        "teams": { "shop": { "services": ["sizing", "orders"] } },
-        "regions": { "svealand": {}, "gotaland": {} },
-    });
-    let shop = json!({
-        "services": {
-            "sizing": { "timeout_ms": 2000, "rules": [{ "method": "GET", "kind": "idempotent" }] },
-            "orders": { "timeout_ms": 3000, "rules": [{ "method": "POST", "kind": "non_idempotent" }] },
-        },
-    });
+    let read = |text: &str| serde_json::from_str(text).unwrap_or_default();
+    let root = read(include_str!("../examples/demo-root.json"));
+    let shop = read(include_str!("../examples/demo-shop.json"));
     vec![("root", root), ("shop", shop)]
 }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, load and experiments for pistachiolane. Never shipped.
 
+pub mod cli;
 pub mod codegen;
 pub mod demo;
 pub mod fleet;
