Whole-node engine, randomised faults run, and an adaptive limit that does not choke

Cause: the randomised run answered 31 % of calls although load was 60 % of capacity; 57 % were told service-full. The adaptive limit took the shortest service time ever seen as the baseline, so any spread in service times pushed the limit to a quarter of the slots. Ruled out: slot leaks (running returns to 0), membership (no-upstream was 1 %). Change: the limit compares smoothed service times of requests that ran beside many others with those beside few, and falls only above 160 %.

--- a/lab/src/cli/args.rs
+++ b/lab/src/cli/args.rs
@@ -19,6 +19,9 @@
     /// Demonstration.
     #[options(help = "two regions, six upstreams, ten seconds of load, two faults")]
     Demo(RunArgs),
+    /// Randomised run.
+    #[options(help = "randomised run of whole nodes' decisions under faults")]
+    Faults(FaultsArgs),
     /// Code from the schemas.
     #[options(help = "generate the types of schema/")]
     Schema(SchemaArgs),
@@ -47,6 +50,23 @@
     pub seed: u64,
 }
 
+/// Arguments of `faults`.
+#[derive(Debug, Options)]
+pub struct FaultsArgs {
+    /// Help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Output for programs.
+    #[options(no_short, help = "print one JSON object")]
+    pub json: bool,
+    /// Seed.
+    #[options(no_short, meta = "N", help = "seed of the random numbers (1)", default = "1")]
+    pub seed: u64,
+    /// Events.
+    #[options(no_short, meta = "N", help = "events", default = "1000000")]
+    pub steps: u64,
+}
+
 /// Arguments of `schema`.
 #[derive(Debug, Options)]
 pub struct SchemaArgs {
--- a/lab/src/cli/run.rs
+++ b/lab/src/cli/run.rs
@@ -5,9 +5,9 @@
         args::{Args, Command},
         stand_ins,
     },
-    crate::{codegen, demo, report::Report},
+    crate::{codegen, demo, faults, report::Report},
     gumdrop::Options,
-    std::{fmt::Display, path::Path, process::ExitCode},
+    std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode},
 };
 
 /// Runs the command that the arguments name.
@@ -17,6 +17,9 @@
             println!("{}\n\n{}", Args::usage(), Args::command_list().unwrap_or_default());
             ExitCode::from(2)
         }
+        Some(Command::Faults(args)) => {
+            finish_report::<Infallible>(args.json, Ok(faults::run(args.steps, args.seed)))
+        }
         Some(Command::Schema(args)) => finish(codegen::run(Path::new("."), args.check)),
         Some(Command::Platform(args)) => finish(block_on(stand_ins::platform(&args))),
         Some(Command::Upstream(args)) => finish(block_on(stand_ins::upstream(&args))),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod codegen;
 pub mod demo;
+pub mod faults;
 pub mod fleet;
 pub mod http;
 pub mod load;
--- a/pistachiolane/src/lib.rs
+++ b/pistachiolane/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod cli;
 pub mod config;
+pub mod engine;
 pub mod invariants;
 pub mod limits;
 pub mod membership;
--- a/pistachiolane/src/limits/adaptive_limit.rs
+++ b/pistachiolane/src/limits/adaptive_limit.rs
@@ -8,8 +8,8 @@
     },
 };
 
-/// Service time relative to the baseline, in percent, above which the limit falls.
-const CONGESTED_PERCENT: u64 = 300;
+/// Service time of a busy upstream relative to an idle one, in percent, above which the limit falls.
+const CONGESTED_PERCENT: u64 = 160;
 
 /// Share of failures, in percent, above which the limit falls.
 const FAILING_PERCENT: u32 = 50;
@@ -20,19 +20,25 @@
 /// Smoothing of the service time and the failure share, as a divisor.
 const SMOOTHING: u64 = 8;
 
-/// The baseline rises by this fraction of itself at each adjustment, so that it follows a lasting change.
-const BASELINE_RISE_DIVISOR: u64 = 200;
+/// Smoothing of the service times that are compared with each other, as a divisor.
+const SLOW_SMOOTHING: u64 = 64;
+
+/// Samples of each kind before they are compared.
+const MIN_SAMPLES: u32 = 128;
 
 /// Adjusts the concurrency of a gate between one and the announced slots.
 ///
-/// Additive increase while service times are near their baseline, multiplicative decrease when they
-/// are not: the announced slots may be wrong, and neighbours share the upstream.
+/// The announced slots may be wrong, and neighbours share the upstream. The limit falls while requests that
+/// run beside many others take much longer than those that run beside few, and rises again step by step.
 #[derive(Debug)]
 pub struct AdaptiveLimit {
     announced: AtomicU32,
     limit: AtomicU32,
     latency_us: AtomicU64,
-    baseline_us: AtomicU64,
+    idle_us: AtomicU64,
+    busy_us: AtomicU64,
+    idle_samples: AtomicU32,
+    busy_samples: AtomicU32,
     failing_percent: AtomicU32,
     adjusted_at: AtomicU64,
     failed_at: AtomicU64,
@@ -45,7 +51,10 @@
             announced: AtomicU32::new(announced),
             limit: AtomicU32::new(announced),
             latency_us: AtomicU64::new(0),
-            baseline_us: AtomicU64::new(0),
+            idle_us: AtomicU64::new(0),
+            busy_us: AtomicU64::new(0),
+            idle_samples: AtomicU32::new(0),
+            busy_samples: AtomicU32::new(0),
             failing_percent: AtomicU32::new(0),
             adjusted_at: AtomicU64::new(0),
             failed_at: AtomicU64::new(0),
@@ -81,17 +90,21 @@
         self.failing_percent(now) > FAILING_PERCENT
     }
 
-    /// Takes the end of one request.
-    pub fn observe(&self, now: Tick, service_time: Duration, success: bool) {
+    /// Takes the end of one request that ran beside `running` others.
+    pub fn observe(&self, now: Tick, service_time: Duration, success: bool, running: u32) {
         self.observe_failure(now, success);
         if !success {
             return;
         }
         let sample = micros(service_time).max(1);
-        smooth(&self.latency_us, sample);
-        // The first sample sets the baseline; later lower ones lower it.
-        let lower = |baseline: u64| (baseline == 0 || sample < baseline).then_some(sample);
-        let _kept = self.baseline_us.fetch_update(Ordering::Relaxed, Ordering::Relaxed, lower);
+        smooth(&self.latency_us, sample, SMOOTHING);
+        let (estimate, samples) = if running > self.get() / 2 {
+            (&self.busy_us, &self.busy_samples)
+        } else {
+            (&self.idle_us, &self.idle_samples)
+        };
+        smooth(estimate, sample, SLOW_SMOOTHING);
+        samples.fetch_add(1, Ordering::Relaxed);
         self.adjust(now);
     }
 
@@ -113,24 +126,29 @@
         if won.is_err() {
             return;
         }
-        let baseline = self.baseline_us.load(Ordering::Relaxed).max(1);
-        let latency = self.latency_us.load(Ordering::Relaxed);
         let announced = self.announced.load(Ordering::Relaxed);
         let limit = self.limit.load(Ordering::Relaxed);
-        let next = if latency * 100 > baseline * CONGESTED_PERCENT {
+        let next = if self.is_congested() {
+            self.busy_samples.store(0, Ordering::Relaxed);
             (limit * 7 / 8).max(announced / 4).max(1)
         } else {
             (limit + 1).min(announced)
         };
         self.limit.store(next, Ordering::Relaxed);
-        let risen = baseline + baseline / BASELINE_RISE_DIVISOR + 1;
-        self.baseline_us.store(risen, Ordering::Relaxed);
+    }
+
+    fn is_congested(&self) -> bool {
+        let enough = |samples: &AtomicU32| samples.load(Ordering::Relaxed) >= MIN_SAMPLES;
+        let idle = self.idle_us.load(Ordering::Relaxed);
+        let busy = self.busy_us.load(Ordering::Relaxed);
+        enough(&self.idle_samples)
+            && enough(&self.busy_samples)
+            && busy * 100 > idle * CONGESTED_PERCENT
     }
 }
 
-fn smooth(estimate: &AtomicU64, sample: u64) {
-    let step = |old: u64| {
-        Some(if old == 0 { sample } else { (old * (SMOOTHING - 1) + sample) / SMOOTHING })
-    };
+fn smooth(estimate: &AtomicU64, sample: u64, divisor: u64) {
+    let step =
+        |old: u64| Some(if old == 0 { sample } else { (old * (divisor - 1) + sample) / divisor });
     let _previous = estimate.fetch_update(Ordering::Relaxed, Ordering::Relaxed, step);
 }
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -168,7 +168,7 @@
     /// Takes how one request went: time from the start to the answer's head, and whether it succeeded.
     pub fn observe(&self, now: Tick, service_time: Duration, success: bool) {
         let was_failing = self.limit.is_failing(now);
-        self.limit.observe(now, service_time, success);
+        self.limit.observe(now, service_time, success, self.slots.running());
         if was_failing && !self.limit.is_failing(now) {
             self.ready_at.store((now + WARMING_TIME).0, Ordering::Relaxed);
         }
--- a/pistachiolane/src/node/announcements.rs
+++ b/pistachiolane/src/node/announcements.rs
@@ -30,7 +30,7 @@
             }
             Err(_) if known.take().is_some() => {
                 log::info!(target: "upstream", "gone: no announcement");
-                shared.gate.withdraw();
+                shared.admission.withdraw();
                 shared.upstream.store(None);
                 control.placement(Vec::new(), own_health(&shared, false)).await;
             }
@@ -42,7 +42,7 @@
 fn take(shared: &Shared, next: &Announcement) {
     let draining = next.draining || shared.draining();
     shared.upstream.store(Some(Arc::new(next.clone())));
-    shared.gate.announce(shared.now(), next.slots, draining);
+    shared.admission.announce(shared.now(), &next.service, next.slots, draining);
 }
 
 async fn publish(shared: &Shared, control: &ControlHandle, next: &Announcement) {
--- a/pistachiolane/src/node/control_service.rs
+++ b/pistachiolane/src/node/control_service.rs
@@ -118,7 +118,7 @@
     }
 
     async fn settle(self, _cx: Context, req: SettleRequest) -> Settlement {
-        let settlement = self.shared.ledger.settle(self.shared.now(), &req);
+        let settlement = self.shared.admission.settle(self.shared.now(), &req);
         self.gate.kill(req.id.entry, req.connection);
         settlement
     }
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -9,8 +9,8 @@
         shared::Shared,
     },
     crate::{
-        attempt::{BeginError, LedgerEntry},
-        limits::{Arrival, RefusalReason},
+        attempt::{Received, Ticket},
+        limits::RefusalReason,
         metrics::Metrics,
         schema::{AttemptHeader, WireError, decode_header},
         tick::Tick,
@@ -59,41 +59,33 @@
     closing: CancellationToken,
 }
 
-/// Ends a request at the gate: frees its slot, then notes the end in the ledger.
+/// Ends a request at the gate: notes the end in the ledger, then frees its slot.
 #[derive(Debug)]
 struct RunGuard {
     shared: Arc<Shared>,
-    entry: Option<Arc<LedgerEntry>>,
+    ticket: Option<Ticket>,
     _slot: SlotGuard,
 }
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        if let Some(entry) = &self.entry {
-            entry.finish(self.shared.now());
+        if let Some(ticket) = &self.ticket {
+            ticket.finish(self.shared.now());
         }
     }
 }
 
-/// Notes in the ledger that a waiting attempt was cancelled before it ran.
+/// Notes that a waiting attempt was cancelled before it ran.
 #[derive(Debug)]
 struct WaitGuard {
     shared: Arc<Shared>,
-    entry: Option<Arc<LedgerEntry>>,
-}
-
-impl WaitGuard {
-    fn refuse(&self) {
-        if let Some(entry) = &self.entry {
-            entry.refuse(self.shared.now());
-        }
-    }
+    ticket: Ticket,
 }
 
 impl Drop for WaitGuard {
     fn drop(&mut self) {
         // Without effect once the attempt has started.
-        self.refuse();
+        self.ticket.refuse(self.shared.now());
     }
 }
 
@@ -197,7 +189,7 @@
 
     fn probe(&self) -> Response<Body> {
         let mut res = responses::text(StatusCode::OK, "");
-        responses::attach_report(&mut res, &self.shared.gate.report(self.shared.now()));
+        responses::attach_report(&mut res, &self.shared.admission.gate.report(self.shared.now()));
         res
     }
 
@@ -208,62 +200,36 @@
         req: Request<Body>,
     ) -> Response<Body> {
         let shared = &self.shared;
-        let arrived = shared.now();
-        let deadline = arrived + Duration::from_micros(attempt.budget_us);
-        let serves = shared.upstream.load().as_ref().is_some_and(|u| u.service == attempt.service);
-        if attempt.gate != shared.node || !serves {
-            return self.refuse(RefusalReason::NotHere);
-        }
-        let entry = match self.begin(arrived, &attempt) {
-            Ok(entry) => entry,
-            Err(BeginError::ConnectionRetired) => return self.refuse(RefusalReason::Retired),
-            Err(BeginError::Duplicate) => return responses::unknown(StatusCode::CONFLICT),
+        let (ticket, slot) = match shared.admission.receive(shared.now(), &attempt) {
+            Received::Refuse(reason) => return self.refuse(reason),
+            Received::Doubt => return responses::unknown(StatusCode::CONFLICT),
+            Received::Run(ticket) => (ticket, Some(SlotGuard::new(Arc::clone(shared)))),
+            Received::Queue(ticket) => (ticket, None),
         };
-        let waiting = WaitGuard { shared: Arc::clone(shared), entry };
-        let slot = match self.admit(&attempt, arrived, deadline).await {
-            Ok(slot) => slot,
-            Err(reason) => {
-                waiting.refuse();
-                return self.refuse(reason);
-            }
+        let deadline = ticket.deadline;
+        let waiting = WaitGuard { shared: Arc::clone(shared), ticket };
+        let slot = match slot {
+            Some(slot) => slot,
+            None => match self.wait(&attempt.caller, deadline).await {
+                Some(slot) => slot,
+                None => return self.refuse(RefusalReason::Expired),
+            },
         };
-        if waiting.entry.as_ref().is_some_and(|e| !e.start()) {
+        if !waiting.ticket.start() {
             return self.refuse(RefusalReason::Retired);
         }
-        let entry = waiting.entry.clone();
-        let guard = RunGuard { shared: Arc::clone(shared), entry, _slot: slot };
+        let ticket = Some(waiting.ticket.clone());
+        let guard = RunGuard { shared: Arc::clone(shared), ticket, _slot: slot };
         self.run(guard, deadline, req).await
     }
 
-    fn begin(
-        &self,
-        now: Tick,
-        attempt: &AttemptHeader,
-    ) -> Result<Option<Arc<LedgerEntry>>, BeginError> {
-        if attempt.repeatable {
-            return Ok(None);
-        }
-        self.shared.ledger.begin(now, attempt.id, attempt.connection).map(Some)
-    }
-
-    async fn admit(
-        &self,
-        attempt: &AttemptHeader,
-        now: Tick,
-        deadline: Tick,
-    ) -> Result<SlotGuard, RefusalReason> {
-        match self.shared.gate.arrive(deadline.since(now), attempt.may_queue) {
-            Arrival::Run => Ok(SlotGuard::new(Arc::clone(&self.shared))),
-            Arrival::Refuse(reason) => Err(reason),
-            Arrival::Queue => {
-                let (reply, verdict) = oneshot::channel();
-                let caller = Arc::clone(&attempt.caller);
-                self.shared.queue.push(QueueItem { caller, deadline, reply });
-                match verdict.await {
-                    Ok(QueueVerdict::Run(slot)) => Ok(slot),
-                    Ok(QueueVerdict::Expired) | Err(_) => Err(RefusalReason::Expired),
-                }
-            }
+    async fn wait(&self, caller: &Arc<str>, deadline: Tick) -> Option<SlotGuard> {
+        let (reply, verdict) = oneshot::channel();
+        let caller = Arc::clone(caller);
+        self.shared.queue.push(QueueItem { caller, deadline, reply });
+        match verdict.await {
+            Ok(QueueVerdict::Run(slot)) => Some(slot),
+            Ok(QueueVerdict::Expired) | Err(_) => None,
         }
     }
 
@@ -280,19 +246,23 @@
         let elapsed = shared.now().since(started);
         match answer {
             Ok(Ok(res)) => {
-                shared.gate.observe(shared.now(), elapsed, !res.status().is_server_error());
+                shared.admission.gate.observe(
+                    shared.now(),
+                    elapsed,
+                    !res.status().is_server_error(),
+                );
                 self.pass_on(guard, res)
             }
             Ok(Err(e)) if e.is_connect() => {
-                shared.gate.observe(shared.now(), elapsed, false);
+                shared.admission.gate.observe(shared.now(), elapsed, false);
                 self.unsent(guard)
             }
             Ok(Err(_)) => {
-                shared.gate.observe(shared.now(), elapsed, false);
+                shared.admission.gate.observe(shared.now(), elapsed, false);
                 self.with_report(responses::unknown(StatusCode::BAD_GATEWAY))
             }
             Err(_) => {
-                shared.gate.observe(shared.now(), elapsed, true);
+                shared.admission.gate.observe(shared.now(), elapsed, true);
                 self.with_report(responses::unknown(StatusCode::GATEWAY_TIMEOUT))
             }
         }
@@ -306,14 +276,14 @@
     }
 
     fn with_report(&self, mut res: Response<Body>) -> Response<Body> {
-        responses::attach_report(&mut res, &self.shared.gate.report(self.shared.now()));
+        responses::attach_report(&mut res, &self.shared.admission.gate.report(self.shared.now()));
         res
     }
 
     /// The upstream could not be connected to: nothing of the request was sent.
     fn unsent(&self, mut guard: RunGuard) -> Response<Body> {
-        if let Some(entry) = guard.entry.take() {
-            entry.unsent(self.shared.now());
+        if let Some(ticket) = guard.ticket.take() {
+            ticket.unsent(self.shared.now());
         }
         drop(guard);
         self.refuse(RefusalReason::NotHere)
@@ -321,7 +291,7 @@
 
     fn refuse(&self, reason: RefusalReason) -> Response<Body> {
         Metrics::count(&self.shared.metrics.gate_refusals, reason.name());
-        responses::refused(reason, &self.shared.gate.report(self.shared.now()))
+        responses::refused(reason, &self.shared.admission.gate.report(self.shared.now()))
     }
 }
 
--- a/pistachiolane/src/node/queue_task.rs
+++ b/pistachiolane/src/node/queue_task.rs
@@ -51,8 +51,8 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        self.shared.gate.finish();
-        if self.shared.gate.has_queue() {
+        self.shared.admission.gate.finish();
+        if self.shared.admission.gate.has_queue() {
             self.shared.queue.wake.notify_one();
         }
     }
@@ -97,7 +97,7 @@
 
 fn grant(shared: &Arc<Shared>, queue: &mut WaitQueue<QueueItem>) {
     let gone = |item: &QueueItem| item.reply.is_closed();
-    while let Some(next) = queue.next(shared.now(), &shared.gate, gone) {
+    while let Some(next) = queue.next(shared.now(), &shared.admission.gate, gone) {
         let (item, verdict) = match next {
             Queued::Run(item) => (item, QueueVerdict::Run(SlotGuard::new(Arc::clone(shared)))),
             Queued::Expired(item) => (item, QueueVerdict::Expired),
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -101,9 +101,9 @@
     /// `limit` has passed; `true` if nothing was cut.
     pub async fn stop(self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
-        log::info!(target: "node", "leaving running={}", self.shared.gate.running());
+        log::info!(target: "node", "leaving running={}", self.shared.admission.gate.running());
         self.shared.leaving.store(true, Ordering::SeqCst);
-        self.shared.gate.drain();
+        self.shared.admission.gate.drain();
         let upstreams = self
             .shared
             .upstream
@@ -123,7 +123,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.shared.gate.running() == 0 && self.shared.work.is_empty()
+        self.shared.admission.gate.running() == 0 && self.shared.work.is_empty()
     }
 }
 
@@ -136,6 +136,6 @@
     let mut timer = interval(SWEEP_PERIOD);
     loop {
         timer.tick().await;
-        shared.ledger.sweep(shared.now());
+        shared.admission.ledger.sweep(shared.now());
     }
 }
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -6,9 +6,9 @@
         queue_task::{QueueHandle, QueueItem},
     },
     crate::{
-        attempt::Ledger,
+        attempt::Admission,
         config::SettingsTree,
-        limits::{Gate, TokenBucket},
+        limits::TokenBucket,
         metrics::Metrics,
         platform::PlatformClient,
         routing::RoutingTable,
@@ -51,9 +51,7 @@
     /// The upstream beside the node, as it announced itself.
     pub upstream: ArcSwapOption<Announcement>,
     /// Admission to the upstream.
-    pub gate: Gate,
-    /// Attempts that the gate remembers.
-    pub ledger: Ledger,
+    pub admission: Admission,
     /// Attempts waiting for a slot.
     pub queue: QueueHandle,
     /// Connections to other gates.
@@ -95,8 +93,7 @@
             table: ArcSwap::default(),
             tree: ArcSwap::default(),
             upstream: ArcSwapOption::empty(),
-            gate: Gate::default(),
-            ledger: Ledger::new(node),
+            admission: Admission::new(node),
             queue,
             hops: Hops::default(),
             attempts: AtomicU64::new(0),
--- a/pistachiolane/src/node/status.rs
+++ b/pistachiolane/src/node/status.rs
@@ -126,7 +126,7 @@
 }
 
 fn gate_state(shared: &Shared) -> Value {
-    let report = shared.gate.report(shared.now());
+    let report = shared.admission.gate.report(shared.now());
     json!({
         "upstream": shared.upstream.load_full().as_deref(),
         "running": report.running,
@@ -134,7 +134,7 @@
         "slots": report.slots,
         "latency_us": report.latency_us,
         "state": state_name(report.state),
-        "ledger": shared.ledger.len(),
+        "ledger": shared.admission.ledger.len(),
     })
 }
 
