--- a/lab/src/cli/args.rs
+++ b/lab/src/cli/args.rs
@@ -22,6 +22,9 @@
     /// Randomised run.
     #[options(help = "randomised run of whole nodes' decisions under faults")]
     Faults(FaultsArgs),
+    /// Routing policy.
+    #[options(help = "the routing decisions beside simpler policies and an oracle")]
+    Policy(PolicyArgs),
     /// Code from the schemas.
     #[options(help = "generate the types of schema/")]
     Schema(SchemaArgs),
@@ -67,6 +70,23 @@
     pub steps: u64,
 }
 
+/// Arguments of `policy`.
+#[derive(Debug, Options)]
+pub struct PolicyArgs {
+    /// Help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Output for programs.
+    #[options(no_short, help = "print one JSON object")]
+    pub json: bool,
+    /// Seed.
+    #[options(no_short, meta = "N", help = "seed of the random numbers (1)", default = "1")]
+    pub seed: u64,
+    /// Measured time.
+    #[options(no_short, meta = "S", help = "virtual seconds measured (10)", default = "10")]
+    pub seconds: u64,
+}
+
 /// Arguments of `schema`.
 #[derive(Debug, Options)]
 pub struct SchemaArgs {
--- a/lab/src/cli/run.rs
+++ b/lab/src/cli/run.rs
@@ -5,7 +5,7 @@
         args::{Args, Command},
         stand_ins,
     },
-    crate::{codegen, demo, faults, report::Report},
+    crate::{codegen, demo, faults, policy, report::Report},
     gumdrop::Options,
     std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode},
 };
@@ -20,6 +20,9 @@
         Some(Command::Faults(args)) => {
             finish_report::<Infallible>(args.json, Ok(faults::run(args.steps, args.seed)))
         }
+        Some(Command::Policy(args)) => {
+            finish_report::<Infallible>(args.json, Ok(policy::run(args.seed, args.seconds)))
+        }
         Some(Command::Schema(args)) => finish(codegen::run(Path::new("."), args.check)),
         Some(Command::Platform(args)) => finish(block_on(stand_ins::platform(&args))),
         Some(Command::Upstream(args)) => finish(block_on(stand_ins::upstream(&args))),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod fleet;
 pub mod http;
 pub mod load;
+pub mod policy;
 pub mod report;
 pub mod stand_in;
