Treat small differences of service time as equal

Cause: the gates' smoothed service times differ by a quarter from chance alone, and the pick chased that noise past links of 2 ms. Change: ratios from 0.6 to 1.6 of the service's count as the same; smoothing 8 -> 16.

--- a/pistachiolane/src/limits/adaptive_limit.rs
+++ b/pistachiolane/src/limits/adaptive_limit.rs
@@ -18,7 +18,7 @@
 const ADJUST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Smoothing of the service time and the failure share, as a divisor.
-const SMOOTHING: u64 = 8;
+const SMOOTHING: u64 = 16;
 
 /// Smoothing of the service times that are compared with each other, as a divisor.
 const SLOW_SMOOTHING: u64 = 64;
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -21,6 +21,9 @@
 /// Extra occupancy, as a share of the slots, that a cold or returning upstream is charged.
 const SLOW_START_OCCUPANCY: f64 = 0.7;
 
+/// Ratios of a reported service time to the service's that count as the same.
+const SAME_LATENCY: std::ops::Range<f64> = 0.6..1.6;
+
 /// Silence, in service times, after which waiting attempts show a straggler.
 const SILENCE_FACTOR: f64 = 2.0;
 
@@ -106,7 +109,9 @@
 
 fn latency_us(now: Tick, candidate: &Candidate, mean: &ServiceMean, weight: f64) -> f64 {
     let reported = f64::from(candidate.last_report().latency_us);
-    let known = if reported == 0.0 { mean.latency_us } else { reported };
+    let ratio = reported / mean.latency_us;
+    // Differences within the noise of a few samples say nothing.
+    let known = if SAME_LATENCY.contains(&ratio) || reported == 0.0 { mean.latency_us } else { reported };
     let expected = weight * known + (1.0 - weight) * mean.latency_us;
     let silence = micros(candidate.silence(now)) as f64;
     if silence > SILENCE_FACTOR * expected { expected + silence } else { expected }
