Compare service times with the median, and accept a queue later

Cause: the straggler pulled the mean that the others were compared with, so sound upstreams looked fast and distances counted too much; and at a load near one, two refusals by full queues ended a call although other queues had room. Change: median in place of the mean; an attempt may queue at once only from an expected utilisation of 1.5 (1.0 before); four queues are tried (two before).

--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -22,10 +22,10 @@
 const DIRECT_ATTEMPTS: u32 = 2;
 
 /// Gates whose queue is tried before the service counts as full.
-const QUEUE_ATTEMPTS: u32 = 2;
+const QUEUE_ATTEMPTS: u32 = 4;
 
 /// Expected utilisation from which an attempt is allowed to queue at once.
-const QUEUE_UTILISATION: f64 = 1.0;
+const QUEUE_UTILISATION: f64 = 1.5;
 
 /// Wait before a gate is asked again about a running or unreachable attempt.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
--- a/pistachiolane/src/node/status.rs
+++ b/pistachiolane/src/node/status.rs
@@ -6,7 +6,7 @@
         config::ROOT,
         invariants,
         metrics::Metrics,
-        routing::{Estimate, ServiceMean, ServiceTable},
+        routing::{Estimate, ServiceNorm, ServiceTable},
         schema::{GateState, Health},
     },
     serde_json::{Value, json},
@@ -94,13 +94,13 @@
 
 fn routing_state(shared: &Shared, service: &ServiceTable) -> Value {
     let now = shared.now();
-    let mean = ServiceMean::of(service.candidates.iter().map(AsRef::as_ref));
+    let norm = ServiceNorm::of(service.candidates.iter().map(AsRef::as_ref));
     let upstreams: Vec<Value> = service
         .candidates
         .iter()
         .map(|c| {
             let report = c.last_report();
-            let estimate = Estimate::new(now, c, &mean);
+            let estimate = Estimate::new(now, c, &norm);
             json!({
                 "node": format!("{:016x}", c.member.node),
                 "gate": c.member.gate,
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -24,13 +24,16 @@
 /// Ratios of a reported service time to the service's that count as the same.
 const SAME_LATENCY: std::ops::Range<f64> = 0.6..1.6;
 
+/// Candidates that a pick usually looks at.
+const USUAL_CANDIDATES: usize = 32;
+
 /// Silence, in service times, after which waiting attempts show a straggler.
 const SILENCE_FACTOR: f64 = 2.0;
 
 record! {
-    /// Means over a service's upstreams, towards which old reports decay.
+    /// What is usual among a service's upstreams, towards which old reports decay.
     #[derive(Copy, Default)]
-    pub struct ServiceMean {
+    pub struct ServiceNorm {
         /// Share of the slots in use, queue included.
         pub utilisation: f64,
         /// Service time in microseconds.
@@ -47,31 +50,31 @@
     }
 }
 
-impl ServiceMean {
-    /// Means of the last reports of candidates.
+impl ServiceNorm {
+    /// Mean utilisation and median service time of the last reports of candidates.
     pub fn of<'a>(candidates: impl Iterator<Item = &'a Candidate>) -> Self {
         let mut utilisation = 0.0;
-        let mut latency = 0.0;
-        let mut count = 0.0;
+        let mut latencies = Vec::with_capacity(USUAL_CANDIDATES);
         for candidate in candidates {
             let report = candidate.last_report();
             if report.latency_us == 0 {
                 continue;
             }
             utilisation += occupancy(&report) / slots(&report);
-            latency += f64::from(report.latency_us);
-            count += 1.0;
+            latencies.push(report.latency_us);
         }
-        if count == 0.0 {
+        if latencies.is_empty() {
             return Self { utilisation: 0.0, latency_us: micros(DEFAULT_LATENCY) as f64 };
         }
-        Self { utilisation: utilisation / count, latency_us: latency / count }
+        let count = latencies.len();
+        let (_, median, _) = latencies.select_nth_unstable(count / 2);
+        Self { utilisation: utilisation / count as f64, latency_us: f64::from(*median) }
     }
 }
 
 impl Estimate {
     /// Expected completion of one more request at `candidate`.
-    pub fn new(now: Tick, candidate: &Candidate, mean: &ServiceMean) -> Self {
+    pub fn new(now: Tick, candidate: &Candidate, norm: &ServiceNorm) -> Self {
         let report = candidate.last_report();
         let slots = slots(&report);
         let age = candidate.report_age(now);
@@ -79,11 +82,11 @@
             age.map_or(0.0, |age| (-age.as_secs_f64() / decay.as_secs_f64()).exp())
         };
         let known = occupancy(&report) + f64::from(candidate.sent_since_report());
-        let unknown = (mean.utilisation * slots).max(f64::from(candidate.outstanding()));
+        let unknown = (norm.utilisation * slots).max(f64::from(candidate.outstanding()));
         let weight = fresh(OCCUPANCY_DECAY);
         let expected = weight * known + (1.0 - weight) * unknown;
         let expected = expected + slow_start(now, candidate, slots);
-        let latency = latency_us(now, candidate, mean, fresh(LATENCY_DECAY));
+        let latency = latency_us(now, candidate, norm, fresh(LATENCY_DECAY));
         let load = (expected + 1.0) / slots;
         // Below full the slots are parallel; a small slope spreads load over equals.
         let factor = if load <= 1.0 { 1.0 + 0.2 * load * load } else { 0.2 + load };
@@ -107,12 +110,12 @@
     if cold { slots * SLOW_START_OCCUPANCY } else { 0.0 }
 }
 
-fn latency_us(now: Tick, candidate: &Candidate, mean: &ServiceMean, weight: f64) -> f64 {
+fn latency_us(now: Tick, candidate: &Candidate, norm: &ServiceNorm, weight: f64) -> f64 {
     let reported = f64::from(candidate.last_report().latency_us);
-    let ratio = reported / mean.latency_us;
+    let ratio = reported / norm.latency_us;
     // Differences within the noise of a few samples say nothing.
-    let known = if SAME_LATENCY.contains(&ratio) || reported == 0.0 { mean.latency_us } else { reported };
-    let expected = weight * known + (1.0 - weight) * mean.latency_us;
+    let known = if SAME_LATENCY.contains(&ratio) || reported == 0.0 { norm.latency_us } else { reported };
+    let expected = weight * known + (1.0 - weight) * norm.latency_us;
     let silence = micros(candidate.silence(now)) as f64;
     if silence > SILENCE_FACTOR * expected { expected + silence } else { expected }
 }
--- a/pistachiolane/src/routing/mod.rs
+++ b/pistachiolane/src/routing/mod.rs
@@ -11,7 +11,7 @@
 pub use {
     candidate::{Candidate, EjectionChange},
     distance::Distance,
-    estimate::{Estimate, ServiceMean},
+    estimate::{Estimate, ServiceNorm},
     pick::{Pick, PickRequest, pick},
     probe::{ProbeBudget, STALE_AFTER, next_probe},
     service_table::{ServiceState, ServiceTable},
--- a/pistachiolane/src/routing/pick.rs
+++ b/pistachiolane/src/routing/pick.rs
@@ -1,7 +1,7 @@
 //! The pick: the upstream with the lowest expected completion time.
 
 use {
-    super::{Candidate, Distance, Estimate, ServiceMean, ServiceTable},
+    super::{Candidate, Distance, Estimate, ServiceNorm, ServiceTable},
     crate::{schema::GateState, tick::Tick},
     rand::{Rng, RngExt},
     std::sync::Arc,
@@ -47,8 +47,8 @@
     let sound: Vec<&Arc<Candidate>> = usable.iter().copied().filter(healthy).collect();
     let from = if sound.is_empty() { usable } else { sound };
     let from = near(from, req.may_spill);
-    let mean = ServiceMean::of(from.iter().map(AsRef::as_ref));
-    lowest(req.now, &from, &mean, rng)
+    let norm = ServiceNorm::of(from.iter().map(AsRef::as_ref));
+    lowest(req.now, &from, &norm, rng)
 }
 
 fn sample<'a, R: Rng>(table: &'a ServiceTable, rng: &mut R) -> Vec<&'a Arc<Candidate>> {
@@ -72,10 +72,10 @@
 fn lowest<R: Rng>(
     now: Tick,
     from: &[&Arc<Candidate>],
-    mean: &ServiceMean,
+    norm: &ServiceNorm,
     rng: &mut R,
 ) -> Option<Pick> {
-    let estimates: Vec<Estimate> = from.iter().map(|c| Estimate::new(now, c, mean)).collect();
+    let estimates: Vec<Estimate> = from.iter().map(|c| Estimate::new(now, c, norm)).collect();
     let best = estimates.iter().map(|e| e.completion_us).fold(f64::INFINITY, f64::min);
     let ties = estimates.iter().filter(|e| e.completion_us <= best * TIE_RATIO).count();
     if ties == 0 {
