Probe only where traffic brought nothing fresh at all

Cause: an upstream that the entry had not chosen for 250 ms was probed although others had just reported: 1,000 to 3,000 probes in ten seconds of steady traffic.

--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -114,7 +114,8 @@
     let reported = f64::from(candidate.last_report().latency_us);
     let ratio = reported / norm.latency_us;
     // Differences within the noise of a few samples say nothing.
-    let known = if SAME_LATENCY.contains(&ratio) || reported == 0.0 { norm.latency_us } else { reported };
+    let known =
+        if SAME_LATENCY.contains(&ratio) || reported == 0.0 { norm.latency_us } else { reported };
     let expected = weight * known + (1.0 - weight) * norm.latency_us;
     let silence = micros(candidate.silence(now)) as f64;
     if silence > SILENCE_FACTOR * expected { expected + silence } else { expected }
--- a/pistachiolane/src/routing/probe.rs
+++ b/pistachiolane/src/routing/probe.rs
@@ -9,6 +9,9 @@
 /// Age from which a report is stale enough to be worth a probe.
 pub const STALE_AFTER: Duration = Duration::from_millis(250);
 
+/// Fresh reports with which a service needs no probe: one that is not stale shows that traffic flows.
+const ENOUGH_FRESH: usize = 1;
+
 /// Bytes that a probe to another region costs, both ways.
 const PROBE_BYTES: u64 = 512;
 
@@ -21,20 +24,23 @@
     pub paid: &'a TokenBucket,
 }
 
-/// The upstream with the stalest report, if one is stale and the budgets allow a probe.
+/// The upstream with the stalest report, if too few are fresh and the budgets allow a probe.
 ///
-/// Called for each request of a service, so that a service without traffic costs no probes.
+/// Called for each request of a service, so that a service without traffic costs no probes. With
+/// [`ENOUGH_FRESH`] fresh reports there is a choice, and a wrong one costs only a refusal.
 pub fn next_probe(
     table: &ServiceTable,
     now: Tick,
     budget: ProbeBudget<'_>,
 ) -> Option<Arc<Candidate>> {
     let age = |c: &Candidate| c.report_age(now).unwrap_or(Duration::MAX);
-    let stalest = table
-        .candidates
-        .iter()
-        .filter(|c| !c.is_gone() && c.distance != Distance::Local && age(c) > STALE_AFTER)
-        .max_by_key(|c| age(c))?;
+    let known = || table.candidates.iter().filter(|c| !c.is_gone());
+    let is_fresh = |c: &&Arc<Candidate>| age(c) <= STALE_AFTER;
+    if known().filter(is_fresh).count() >= ENOUGH_FRESH {
+        return None;
+    }
+    let stalest =
+        known().filter(|c| c.distance != Distance::Local && !is_fresh(c)).max_by_key(|c| age(c))?;
     if !stalest.claim_probe(now, STALE_AFTER) {
         return None;
     }
