A node is ready only when it knows the fleet

Cause: in a rolling stop a replacement took callers' requests after its settings had come but before the full exchange of members, and told 2 to 5 of 12,090 that no upstream exists. Ruled out: the draining gates (their refusals went elsewhere) and attempts running out (the reason given was no-upstream, never service-full). Change: ready means settings and a full exchange, or nobody to have one with.

--- a/lab/src/cli/args.rs
+++ b/lab/src/cli/args.rs
@@ -22,6 +22,12 @@
     /// Randomised run.
     #[options(help = "randomised run of whole nodes' decisions under faults")]
     Faults(FaultsArgs),
+    /// Rolling stop.
+    #[options(help = "rolling graceful stop of every node under load")]
+    Drain(RunArgs),
+    /// Latency.
+    #[options(help = "latency added by entry and gate, beside direct calls")]
+    AddedLatency(RunArgs),
     /// Routing policy.
     #[options(help = "the routing decisions beside simpler policies and an oracle")]
     Policy(PolicyArgs),
--- a/lab/src/cli/run.rs
+++ b/lab/src/cli/run.rs
@@ -5,7 +5,7 @@
         args::{Args, Command},
         stand_ins,
     },
-    crate::{codegen, demo, faults, policy, report::Report},
+    crate::{added_latency, codegen, demo, drain, faults, policy, report::Report},
     gumdrop::Options,
     std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode},
 };
@@ -20,6 +20,10 @@
         Some(Command::Faults(args)) => {
             finish_report::<Infallible>(args.json, Ok(faults::run(args.steps, args.seed)))
         }
+        Some(Command::Drain(args)) => finish_report(args.json, block_on(drain::run(args.seed))),
+        Some(Command::AddedLatency(args)) => {
+            finish_report(args.json, block_on(added_latency::run(args.seed)))
+        }
         Some(Command::Policy(args)) => {
             finish_report::<Infallible>(args.json, Ok(policy::run(args.seed, args.seconds)))
         }
--- a/lab/src/cli/stand_ins.rs
+++ b/lab/src/cli/stand_ins.rs
@@ -38,6 +38,7 @@
         service: Arc::from(args.service.as_str()),
         slots: args.slots,
         mean: Duration::from_millis(args.mean_ms),
+        fixed: false,
         cold: Duration::ZERO,
     });
     let address = upstream.start(args.listen, args.node, CancellationToken::new()).await?;
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -44,6 +44,7 @@
                     service: Arc::from(service),
                     slots: 13,
                     mean: Duration::from_millis(mean_ms),
+                    fixed: false,
                     cold: Duration::ZERO,
                 },
             })
@@ -138,7 +139,7 @@
     let false_not_run = all
         .iter()
         .flat_map(|r| &r.told)
-        .filter(|(id, told)| *told == Told::NotRun && runs.contains_key(id))
+        .filter(|(id, told)| matches!(told, Told::NotRun(_)) && runs.contains_key(id))
         .count();
     report.check(Check::at_most("doubled orders", 0.0, doubled as f64));
     report.check(Check::at_most("false not run", 0.0, false_not_run as f64));
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -214,7 +214,11 @@
         .await
     }
 
-    async fn wait_ready(&self) -> Result<(), FleetError> {
+    /// Waits until every node that runs holds the settings.
+    ///
+    /// # Errors
+    /// Fails when that takes too long.
+    pub async fn wait_ready(&self) -> Result<(), FleetError> {
         self.wait("settings everywhere", |dump| {
             let services = dump["status"]["services"].as_object();
             let declared = |v: &Value| v["declared"] == json!(true);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,8 +1,10 @@
 //! Stand-ins, load and experiments for pistachiolane. Never shipped.
 
+pub mod added_latency;
 pub mod cli;
 pub mod codegen;
 pub mod demo;
+pub mod drain;
 pub mod faults;
 pub mod fleet;
 pub mod http;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -11,6 +11,7 @@
     hyper::{Method, Request, StatusCode, header},
     serde::Serialize,
     std::{
+        collections::BTreeMap,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError, RwLock},
         time::Duration,
@@ -48,6 +49,8 @@
     pub upstream_errors: u64,
     /// Requests told *not run*.
     pub not_run: u64,
+    /// Reasons given for them.
+    pub not_run_reasons: BTreeMap<String, u64>,
     /// Requests told that their outcome is unknown.
     pub unknown: u64,
     /// Connections or answers cut.
@@ -57,14 +60,14 @@
 }
 
 /// What a caller was told about one request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
     /// Its own whole answer.
     Answer,
     /// An error of the upstream.
     UpstreamError,
-    /// Not run.
-    NotRun,
+    /// Not run, for this reason.
+    NotRun(String),
     /// Unknown.
     Unknown,
     /// Nothing: the connection was cut.
@@ -99,7 +102,10 @@
         match told {
             Told::Answer => self.counts.answers += 1,
             Told::UpstreamError => self.counts.upstream_errors += 1,
-            Told::NotRun => self.counts.not_run += 1,
+            Told::NotRun(ref reason) => {
+                self.counts.not_run += 1;
+                *self.counts.not_run_reasons.entry(reason.clone()).or_default() += 1;
+            }
             Told::Unknown => self.counts.unknown += 1,
             Told::Cut => self.counts.cut += 1,
             Told::Foreign => self.counts.foreign += 1,
@@ -167,11 +173,14 @@
 }
 
 fn told(answer: &WholeAnswer, id: &str) -> Told {
-    let outcome = answer.head.headers().get("pistachiolane-outcome").and_then(|v| v.to_str().ok());
-    let named = answer.head.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok());
+    let header = |name: &str| answer.head.headers().get(name).and_then(|v| v.to_str().ok());
+    let outcome = header("pistachiolane-outcome");
+    let named = header(REQUEST_ID);
     let ends_with_id = answer.body.ends_with(format!("answer {id}").as_bytes());
     match (answer.head.status(), outcome) {
-        (_, Some("not-run")) => Told::NotRun,
+        (_, Some("not-run")) => {
+            Told::NotRun(header("pistachiolane-reason").unwrap_or_default().to_owned())
+        }
         (_, Some("unknown")) => Told::Unknown,
         (StatusCode::OK, _) if ends_with_id && named == Some(id) => Told::Answer,
         (StatusCode::OK, _) => Told::Foreign,
--- a/lab/src/stand_in/upstream.rs
+++ b/lab/src/stand_in/upstream.rs
@@ -43,8 +43,10 @@
     pub service: Arc<str>,
     /// Requests that it runs at once.
     pub slots: u16,
-    /// Mean of the exponential service time.
+    /// Mean of the service time.
     pub mean: Duration,
+    /// Whether every request takes the mean; otherwise the time is exponential.
+    pub fixed: bool,
     /// Time after the start during which requests take ten times as long.
     pub cold: Duration,
 }
@@ -103,6 +105,12 @@
         Ok(address)
     }
 
+    /// The address that it serves on.
+    pub fn address(&self) -> SocketAddr {
+        let address = *self.address.lock().unwrap_or_else(PoisonError::into_inner);
+        address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+    }
+
     /// Times that each request was run, by its identity.
     pub fn runs(&self) -> HashMap<String, u32> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -167,6 +175,9 @@
     }
 
     fn service_time(&self) -> Duration {
+        if self.behaviour.fixed {
+            return self.behaviour.mean;
+        }
         let uniform: f64 = rand::rng().random_range(f64::EPSILON..1.0);
         let cold = if self.started.elapsed() < self.behaviour.cold { 10.0 } else { 1.0 };
         let slow = self.slowness_percent.load(Ordering::Relaxed) as f64 / 100.0;
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -48,6 +48,9 @@
 /// Shortest time between two full exchanges of a node.
 const EXCHANGE_PERIOD: Duration = Duration::from_secs(5);
 
+/// Time after which a node whose seeds are all silent takes itself for the first.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Target of a ping to an address whose node is not known.
 const ANY_NODE: u64 = 0;
 
@@ -118,6 +121,9 @@
     probe_at: Tick,
     rejoin_at: Tick,
     exchanged_at: Option<Tick>,
+    started_at: Tick,
+    has_records: bool,
+    seeds_asked: bool,
     dropped_records: u64,
 }
 
@@ -139,6 +145,9 @@
             probe_at: now,
             rejoin_at: now,
             exchanged_at: None,
+            started_at: now,
+            has_records: false,
+            seeds_asked: false,
             dropped_records: 0,
             own,
         }
@@ -151,6 +160,7 @@
 
     /// Adds seed addresses, as those that the platform names.
     pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.seeds_asked = true;
         for seed in seeds {
             if seed != self.own.control && !self.seeds.contains(&seed) {
                 self.seeds.push(seed);
@@ -158,6 +168,12 @@
         }
     }
 
+    /// Whether the node knows the fleet: it has had a full exchange, or there is nobody to have it with.
+    pub fn has_joined(&self, now: Tick) -> bool {
+        let alone = self.seeds_asked && self.seeds.is_empty();
+        self.has_records || alone || now.since(self.started_at) >= JOIN_TIMEOUT
+    }
+
     /// The node's own record.
     pub fn own(&self) -> &MemberRecord {
         &self.own
@@ -209,6 +225,7 @@
             }
             MembershipEvent::Records(records) => {
                 self.exchanged_at = Some(now);
+                self.has_records = true;
                 self.merge_all(now, records, &mut actions);
             }
             MembershipEvent::Own(record) => self.own_changed(record, &mut actions),
--- a/pistachiolane/src/node/admin.rs
+++ b/pistachiolane/src/node/admin.rs
@@ -18,7 +18,7 @@
     hyper::{Method, Request, Response, StatusCode, body::Incoming, header, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     serde_json::{Value, json},
-    std::{convert::Infallible, sync::Arc, sync::atomic::Ordering, time::Duration},
+    std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{net::TcpListener, sync::mpsc},
 };
 
@@ -97,7 +97,7 @@
     }
 
     fn ready(&self) -> Response<Body> {
-        let ready = self.shared.ready.load(Ordering::Relaxed) && !self.shared.draining();
+        let ready = self.shared.is_ready() && !self.shared.draining();
         let code = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         responses::text(code, if ready { "ready" } else { "not ready" })
     }
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -162,6 +162,8 @@
                 _tick = timer.tick() => {
                     self.step(MembershipEvent::Timer);
                     self.rebuild();
+                    let joined = self.members.has_joined(self.shared.now());
+                    self.shared.has_joined.store(joined, Ordering::Relaxed);
                 }
                 command = self.commands.recv() => match command {
                     Some(command) => self.command(command),
@@ -306,7 +308,7 @@
     let learned = !reply.newer.is_empty();
     handle.apply(reply.newer).await;
     if learned {
-        shared.ready.store(true, Ordering::Relaxed);
+        shared.has_settings.store(true, Ordering::Relaxed);
     }
     if reply.wanted.is_empty() {
         return;
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -67,7 +67,7 @@
     BodyLost,
     #[error("calls are nested deeper than {MAX_DEPTH}")]
     TooDeep,
-    #[error("this node has no settings yet")]
+    #[error("this node does not know the fleet or its settings yet")]
     NotReady,
 }
 
@@ -151,8 +151,7 @@
         let name = service_name(&req);
         let tree = shared.tree.load_full();
         let Some(settings) = tree.service(&name) else {
-            let ready = shared.ready.load(std::sync::atomic::Ordering::Relaxed);
-            return Err(if ready { Rejection::UnknownService(name) } else { Rejection::NotReady });
+            return Err(self.absent(name));
         };
         let limits = Limits::of(settings, req.method().as_str(), req.uri().path());
         if headers::number(req.headers(), &headers::DEPTH).is_some_and(|d| d >= MAX_DEPTH) {
@@ -160,6 +159,9 @@
         }
         let (spec, outgoing) = self.prepare(settings, &limits, req).await?;
         let Some(table) = shared.table.load().service(&name).map(Arc::clone) else {
+            if !shared.is_ready() {
+                return Err(Rejection::NotReady);
+            }
             let reason = crate::attempt::NotRunReason::NoUpstream;
             Metrics::count(&shared.metrics.calls, "not-run");
             return Ok(responses::not_run(reason, Duration::from_secs(1)));
@@ -169,6 +171,14 @@
         Ok(self.response(end))
     }
 
+    fn absent(&self, name: String) -> Rejection {
+        if self.driver.shared.is_ready() {
+            Rejection::UnknownService(name)
+        } else {
+            Rejection::NotReady
+        }
+    }
+
     async fn prepare(
         &self,
         settings: &ServiceSettings,
--- a/pistachiolane/src/node/platform_task.rs
+++ b/pistachiolane/src/node/platform_task.rs
@@ -94,7 +94,7 @@
 async fn take(shared: &Shared, control: &ControlHandle, listing: Listing) {
     let subtrees = listing.items.iter().filter_map(subtree).collect();
     control.apply(subtrees).await;
-    shared.ready.store(true, Ordering::Relaxed);
+    shared.has_settings.store(true, Ordering::Relaxed);
 }
 
 /// The subtree in a settings object; `None` if its value is not one.
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -67,7 +67,9 @@
     /// Counters.
     pub metrics: Metrics,
     /// Whether the node holds the newest settings that anyone could name.
-    pub ready: AtomicBool,
+    pub has_settings: AtomicBool,
+    /// Whether the node knows the fleet.
+    pub has_joined: AtomicBool,
     /// Whether the node is among those of its region that watch the platform.
     pub watches: AtomicBool,
     /// Set when the gate takes no new work because the node leaves.
@@ -101,7 +103,8 @@
             paid: TokenBucket::new(DEFAULT_PAID_BYTES, DEFAULT_PAID_BYTES * PAID_BURST_SECONDS),
             platform,
             metrics: Metrics::new(),
-            ready: AtomicBool::new(false),
+            has_settings: AtomicBool::new(false),
+            has_joined: AtomicBool::new(false),
             watches: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             stopping: CancellationToken::new(),
@@ -116,6 +119,11 @@
         Tick(micros(self.started.elapsed()))
     }
 
+    /// Whether the node can serve callers: it knows the settings and the fleet.
+    pub fn is_ready(&self) -> bool {
+        self.has_settings.load(Ordering::Relaxed) && self.has_joined.load(Ordering::Relaxed)
+    }
+
     /// Whether the node is leaving.
     pub fn draining(&self) -> bool {
         self.leaving.load(Ordering::SeqCst)
--- a/pistachiolane/src/node/status.rs
+++ b/pistachiolane/src/node/status.rs
@@ -35,7 +35,7 @@
         "node": format!("{:016x}", shared.node),
         "region": shared.settings.region,
         "zone": shared.settings.zone,
-        "ready": shared.ready.load(Ordering::Relaxed),
+        "ready": shared.is_ready(),
         "draining": shared.draining(),
         "members": regions,
         "services": services,
