Socket tests: bad input, conflicts, lost answers, a silent connection

Cause and change, each found by a test: a caller whose body was too large saw its connection cut and not the 413 (what it still sends is now read for a while); garbage on the gate's port was not counted as malformed. Measured: lab/tests/sockets.rs, 12 tests green three times in a row.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -16,7 +16,10 @@
     std::{
         collections::HashMap,
         net::{Ipv4Addr, SocketAddr},
-        sync::{Arc, PoisonError, RwLock},
+        sync::{
+            Arc, PoisonError, RwLock,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::time::{Instant, sleep},
@@ -26,6 +29,14 @@
 /// Time for a fleet to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// First of the ports that nodes listen on; below those that the system gives to outgoing connections.
+const FIRST_PORT: u16 = 12_000;
+
+/// Number of those ports.
+const PORTS: usize = 18_000;
+
+static NEXT_PORT: AtomicUsize = AtomicUsize::new(0);
+
 /// Why a fleet did not come up.
 #[derive(Debug, thiserror::Error)]
 pub enum FleetError {
@@ -224,7 +235,11 @@
         all
     }
 
-    async fn wait_joined(&self) -> Result<(), FleetError> {
+    /// Waits until every node that runs knows every other and its upstream.
+    ///
+    /// # Errors
+    /// Fails when that takes too long.
+    pub async fn wait_joined(&self) -> Result<(), FleetError> {
         let expected = self.members.len() as u64;
         self.wait("members joined", |dump| {
             let members = dump["members"].as_array().map_or(0, Vec::len) as u64;
@@ -312,9 +327,11 @@
     let mut ports = Vec::new();
     let mut held = Vec::new();
     while ports.len() < 4 {
-        let tcp = tokio::net::TcpListener::bind(loopback(0)).await?;
-        let address = tcp.local_addr()?;
-        if let Ok(udp) = tokio::net::UdpSocket::bind(address).await {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed) + std::process::id() as usize * 64;
+        let address = loopback(FIRST_PORT + (step % PORTS) as u16);
+        let tcp = tokio::net::TcpListener::bind(address).await;
+        let udp = tokio::net::UdpSocket::bind(address).await;
+        if let (Ok(tcp), Ok(udp)) = (tcp, udp) {
             ports.push(address);
             held.push((tcp, udp));
         }
--- a/lab/tests/sockets.rs
+++ b/lab/tests/sockets.rs
@@ -103,14 +103,21 @@
     udp.send_to(&[7; 300], addresses.control).await.unwrap();
     for address in [addresses.control, addresses.gate] {
         let mut tcp = TcpStream::connect(address).await.unwrap();
-        tcp.write_all(&[0, 0, 0, 9, 1, 2, 3, 4, 5, 6, 7, 8, 9]).await.unwrap();
+        let mut garbage = vec![0, 0, 0, 60];
+        garbage.extend([7; 60]);
+        tcp.write_all(&garbage).await.unwrap();
         let mut rest = Vec::new();
         // The node closes; how it does so is its affair.
-        let _closed = tcp.read_to_end(&mut rest).await;
+        let closed = tokio::time::timeout(Duration::from_secs(10), tcp.read_to_end(&mut rest));
+        assert!(closed.await.is_ok(), "the node keeps a connection that sent garbage");
     }
-    while fleet.counter("malformed").await.unwrap() < 3 {
+    for _ in 0..1_000 {
+        if fleet.counter("malformed").await.unwrap() >= 3 {
+            break;
+        }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    assert!(fleet.counter("malformed").await.unwrap() >= 3);
     assert_eq!(call(&fleet, Method::GET, "sizing", "").await.head.status(), 200);
 }
 
@@ -180,12 +187,10 @@
 async fn silent_connection_is_settled() {
     let members = demo::members();
     let (lookup, order) = (members[0].clone(), members[3].clone());
-    let mut fleet = Fleet::start(vec![lookup], &[]).await.unwrap();
+    let mut fleet = Fleet::start(vec![lookup], &demo::settings()).await.unwrap();
     let relay = Relay::start().await.unwrap();
     fleet.add_behind(order, &relay).await.unwrap();
-    for (subtree, document) in demo::settings() {
-        fleet.apply(subtree, &document).await.unwrap();
-    }
+    fleet.wait_joined().await.unwrap();
     fleet.wait_ready().await.unwrap();
     let entry = fleet.members[0].addresses.listen;
     let spec = LoadSpec {
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -38,6 +38,12 @@
 /// Largest body that is held whole, so that it can be sent again.
 const MAX_HELD_BODY_BYTES: u64 = 65_536;
 
+/// Bytes of a refused body that are read, so that its sender gets to hear of it.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+
+/// Time for that.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Largest head of a request in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1_024;
 
@@ -275,10 +281,18 @@
     }
 }
 
+/// Reads on for a while, so that a caller that still sends can hear the answer.
+async fn discard(body: Incoming) {
+    let limited = Limited::new(body, MAX_DISCARDED_BYTES);
+    // What is left then is cut with the connection.
+    let _discarded = timeout(DISCARD_TIMEOUT, limited.collect()).await;
+}
+
 /// Holds a small body whole; a large one, or one of unknown size, is streamed once.
 async fn hold(body: Incoming, max_bytes: u64) -> Result<OutgoingBody, Rejection> {
     let size = body.size_hint();
     if size.lower() > max_bytes {
+        discard(body).await;
         return Err(Rejection::BodyTooLarge(max_bytes));
     }
     if size.upper().is_some_and(|upper| upper <= MAX_HELD_BODY_BYTES) {
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -22,7 +22,14 @@
         rt::{TokioExecutor, TokioIo, TokioTimer},
     },
     papaya::HashMap,
-    std::{convert::Infallible, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::oneshot,
@@ -138,9 +145,11 @@
 
     async fn connection(self: Arc<Self>, socket: TcpStream) {
         let killed = CancellationToken::new();
+        let spoke = AtomicBool::new(false);
         let service = service_fn(|req: Request<Incoming>| {
             let gate = Arc::clone(&self);
             let killed = killed.clone();
+            spoke.store(true, Ordering::Relaxed);
             async move { Ok::<_, Infallible>(gate.request(req, &killed).await) }
         });
         let mut http = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
@@ -162,7 +171,8 @@
                 }
             }
         };
-        if result.is_err_and(|e| e.is_parse()) {
+        // An end without a single request is no node's.
+        if result.is_err() && !spoke.load(Ordering::Relaxed) {
             self.shared.metrics.malformed.inc();
         }
         killed.cancel();
