--- a/lab/src/cli/args.rs
+++ b/lab/src/cli/args.rs
@@ -28,6 +28,9 @@
     /// Latency.
     #[options(help = "latency added by entry and gate, beside direct calls")]
     AddedLatency(RunArgs),
+    /// Slopes.
+    #[options(help = "how the cost of control and of a call grows")]
+    Slopes(RunArgs),
     /// Routing policy.
     #[options(help = "the routing decisions beside simpler policies and an oracle")]
     Policy(PolicyArgs),
--- a/lab/src/cli/run.rs
+++ b/lab/src/cli/run.rs
@@ -5,7 +5,7 @@
         args::{Args, Command},
         stand_ins,
     },
-    crate::{added_latency, codegen, demo, drain, faults, policy, report::Report},
+    crate::{added_latency, codegen, demo, drain, faults, policy, report::Report, slopes},
     gumdrop::Options,
     std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode},
 };
@@ -24,6 +24,9 @@
         Some(Command::AddedLatency(args)) => {
             finish_report(args.json, block_on(added_latency::run(args.seed)))
         }
+        Some(Command::Slopes(args)) => {
+            finish_report::<Infallible>(args.json, Ok(slopes::run(args.seed)))
+        }
         Some(Command::Policy(args)) => {
             finish_report::<Infallible>(args.json, Ok(policy::run(args.seed, args.seconds)))
         }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod policy;
 pub mod relay;
 pub mod report;
+pub mod slopes;
 pub mod stand_in;
