--- a/lab/src/cli/args.rs
+++ b/lab/src/cli/args.rs
@@ -28,6 +28,9 @@
     /// Latency.
     #[options(help = "latency added by entry and gate, beside direct calls")]
     AddedLatency(RunArgs),
+    /// Membership.
+    #[options(help = "detection, spread and cost of the membership by size")]
+    Membership(MembershipArgs),
     /// Slopes.
     #[options(help = "how the cost of control and of a call grows")]
     Slopes(RunArgs),
@@ -96,6 +99,23 @@
     pub seconds: u64,
 }
 
+/// Arguments of `membership`.
+#[derive(Debug, Options)]
+pub struct MembershipArgs {
+    /// Help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Output for programs.
+    #[options(no_short, help = "print one JSON object")]
+    pub json: bool,
+    /// Seed.
+    #[options(no_short, meta = "N", help = "seed of the random numbers (1)", default = "1")]
+    pub seed: u64,
+    /// Sizes.
+    #[options(no_short, meta = "N,…", help = "members (50,200,800)", default = "50,200,800")]
+    pub sizes: String,
+}
+
 /// Arguments of `schema`.
 #[derive(Debug, Options)]
 pub struct SchemaArgs {
--- a/lab/src/cli/run.rs
+++ b/lab/src/cli/run.rs
@@ -5,7 +5,9 @@
         args::{Args, Command},
         stand_ins,
     },
-    crate::{added_latency, codegen, demo, drain, faults, policy, report::Report, slopes},
+    crate::{
+        added_latency, codegen, demo, drain, faults, membership, policy, report::Report, slopes,
+    },
     gumdrop::Options,
     std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode},
 };
@@ -27,6 +29,10 @@
         Some(Command::Slopes(args)) => {
             finish_report::<Infallible>(args.json, Ok(slopes::run(args.seed)))
         }
+        Some(Command::Membership(args)) => {
+            let sizes: Result<Vec<u16>, _> = args.sizes.split(',').map(str::parse).collect();
+            finish_report(args.json, sizes.map(|sizes| membership::run(&sizes, args.seed)))
+        }
         Some(Command::Policy(args)) => {
             finish_report::<Infallible>(args.json, Ok(policy::run(args.seed, args.seconds)))
         }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod http;
 pub mod load;
+pub mod membership;
 pub mod policy;
 pub mod relay;
 pub mod report;
--- /dev/null
+++ b/lab/src/membership/mod.rs
@@ -0,0 +1,9 @@
+//! Membership of many nodes over a fake network at virtual time.
+
+mod net;
+mod run;
+
+pub use {
+    net::{Net, address},
+    run::run,
+};
--- a/lab/src/policy/model.rs
+++ b/lab/src/policy/model.rs
@@ -241,7 +241,7 @@
         let entry = self.rng.random_range(0..UPSTREAMS + OTHER_NODES);
         self.measured.calls += u64::from(self.is_measured(self.now));
         let arrived = self.now;
-        if self.policy == Policy::Pistachiolane {
+        if self.policy.is_own() {
             self.calls.insert(call, SimpleCall { entry, upstream: 0, arrived });
             self.probe(entry);
             let spec = CallSpec {
@@ -249,7 +249,7 @@
                 deadline: self.now + TIMEOUT,
                 is_retry: false,
                 retry_percent: 10,
-                hedge: true,
+                hedge: self.policy == Policy::Pistachiolane,
                 replayable: true,
             };
             let service = Arc::from("sizing");
@@ -300,7 +300,7 @@
         let Ended::Done(next) = ended else { return };
         self.schedule(upstream, next);
         let name = started.job;
-        if self.policy == Policy::Pistachiolane {
+        if self.policy.is_own() {
             let Some(d) = self.deliveries.get(&name) else { return };
             let service_time = self.now.since(d.submitted);
             let result = RunResult::Answered { service_time, failed: false };
--- a/lab/src/policy/policies.rs
+++ b/lab/src/policy/policies.rs
@@ -11,6 +11,8 @@
 pub enum Policy {
     /// The node's decision code, whole.
     Pistachiolane,
+    /// The same without hedges.
+    Unhedged,
     /// In turn.
     RoundRobin,
     /// At random.
@@ -25,8 +27,9 @@
 
 impl Policy {
     /// All policies, the node's own first.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Pistachiolane,
+        Self::Unhedged,
         Self::RoundRobin,
         Self::Random,
         Self::TwoChoices,
@@ -34,10 +37,16 @@
         Self::Oracle,
     ];
 
+    /// Whether it is the node's decision code.
+    pub fn is_own(self) -> bool {
+        matches!(self, Self::Pistachiolane | Self::Unhedged)
+    }
+
     /// Name in reports.
     pub fn name(self) -> &'static str {
         match self {
             Self::Pistachiolane => "pistachiolane",
+            Self::Unhedged => "unhedged",
             Self::RoundRobin => "round-robin",
             Self::Random => "random",
             Self::TwoChoices => "two-choices",
@@ -92,7 +101,7 @@
             Policy::Oracle => {
                 (0..count).min_by_key(|&u| upstreams[u].expected() + round_trip(u)).unwrap_or(0)
             }
-            Policy::Random | Policy::Pistachiolane => rng.random_range(0..count),
+            Policy::Random | Policy::Pistachiolane | Policy::Unhedged => rng.random_range(0..count),
         }
     }
 }
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -30,6 +30,9 @@
 /// Time after which a suspected member is taken for dead.
 const SUSPICION: Duration = Duration::from_secs(1);
 
+/// Time between two looks for suspects whose time is up and for records to forget.
+const SUSPECTS_PERIOD: Duration = Duration::from_millis(100);
+
 /// Members asked to ping in place of a node.
 const INDIRECT_PROBES: usize = 3;
 
@@ -133,6 +136,7 @@
     timer_at: Tick,
     probe_at: Tick,
     rejoin_at: Tick,
+    suspects_at: Tick,
     anti_entropy_at: Tick,
     exchanged_at: Option<Tick>,
     started_at: Tick,
@@ -158,6 +162,7 @@
             timer_at: now,
             probe_at: now,
             rejoin_at: now,
+            suspects_at: now,
             anti_entropy_at: now + EXCHANGE_PERIOD,
             exchanged_at: None,
             started_at: now,
@@ -263,7 +268,10 @@
         }
         self.timer_at = now;
         self.check_probes(now, rng, actions);
-        self.check_suspects(now, actions);
+        if now >= self.suspects_at {
+            self.suspects_at = now + SUSPECTS_PERIOD;
+            self.check_suspects(now, actions);
+        }
         self.relays.retain(|_, r| now.since(r.sent_at) < INDIRECT_TIMEOUT);
         if now >= self.probe_at {
             self.probe_at = now + PROBE_PERIOD;
