A node runs orders at its own upstream

Cause: an attempt at the own gate carried connection number 0, and the ledger takes every number up to the last retired one, which starts at 0, as retired. Orders that met the upstream beside their entry were refused and went elsewhere, or failed where it was the only one. Change: such attempts carry a number that no settlement retires; two tests over sockets. Before: a fleet of one node answered an order with not-run, no-upstream. After: 200, no refusal. Ruled out: the table and the announcement, which held the upstream.

--- a/lab/tests/sockets.rs
+++ b/lab/tests/sockets.rs
@@ -54,6 +54,24 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// An order at the node beside its only upstream takes no hop.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_at_its_own_gate() {
+    let fleet =
+        Fleet::start(vec![demo::members().swap_remove(3)], &demo::settings()).await.unwrap();
+    let answer = call(&fleet, Method::POST, "orders", "one").await;
+    assert_eq!(answer.head.status(), 200, "{}", header(&answer, "pistachiolane-reason"));
+    assert_eq!(fleet.counter("refused").await.unwrap(), 0);
+}
+
+/// A body too large to be held is streamed.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_large_body_is_streamed() {
+    let fleet = fleet().await;
+    let answer = call(&fleet, Method::POST, "orders", &"x".repeat(600_000)).await;
+    assert_eq!(answer.head.status(), 200);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_unknown_service() {
     let fleet = fleet().await;
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -80,6 +80,9 @@
     Settled(Option<Settlement>),
 }
 
+/// Number in place of a connection's for the own gate, which no settlement retires.
+const NO_CONNECTION: u64 = u64::MAX;
+
 type Attempts = FuturesUnordered<BoxFuture<'static, (AttemptId, Option<AttemptEnd>)>>;
 
 #[derive(Debug)]
@@ -243,7 +246,7 @@
         let attempt = AttemptHeader {
             id,
             gate: candidate.member.node,
-            connection: 0,
+            connection: NO_CONNECTION,
             budget_us: crate::tick::micros(budget),
             repeatable: self.spec.kind == WorkKind::Idempotent,
             may_queue,
