--- a/lab/src/added_latency.rs
+++ b/lab/src/added_latency.rs
@@ -41,11 +41,8 @@
         region: "svealand",
         zone,
         behaviour: UpstreamBehaviour {
-            service: Arc::from("sizing"),
-            slots: 260,
-            mean: SERVICE_TIME,
             fixed: true,
-            cold: Duration::ZERO,
+            ..UpstreamBehaviour::new("sizing", 260, SERVICE_TIME)
         },
     };
     // An entry beside no upstream of the service would need another service; two upstreams make half of
--- a/lab/src/cli/stand_ins.rs
+++ b/lab/src/cli/stand_ins.rs
@@ -34,13 +34,11 @@
 /// # Errors
 /// Fails when the address cannot be bound.
 pub async fn upstream(args: &UpstreamArgs) -> io::Result<()> {
-    let upstream = UpstreamStandIn::new(UpstreamBehaviour {
-        service: Arc::from(args.service.as_str()),
-        slots: args.slots,
-        mean: Duration::from_millis(args.mean_ms),
-        fixed: false,
-        cold: Duration::ZERO,
-    });
+    let upstream = UpstreamStandIn::new(UpstreamBehaviour::new(
+        &args.service,
+        args.slots,
+        Duration::from_millis(args.mean_ms),
+    ));
     let address = upstream.start(args.listen, args.node, CancellationToken::new()).await?;
     println!("upstream of {} on {address}", args.service);
     std::future::pending().await
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -40,13 +40,7 @@
             places.iter().map(move |&(region, zone)| MemberSpec {
                 region,
                 zone,
-                behaviour: UpstreamBehaviour {
-                    service: Arc::from(service),
-                    slots: 13,
-                    mean: Duration::from_millis(mean_ms),
-                    fixed: false,
-                    cold: Duration::ZERO,
-                },
+                behaviour: UpstreamBehaviour::new(service, 13, Duration::from_millis(mean_ms)),
             })
         })
         .collect()
--- a/lab/src/stand_in/upstream.rs
+++ b/lab/src/stand_in/upstream.rs
@@ -43,6 +43,10 @@
     pub service: Arc<str>,
     /// Requests that it runs at once.
     pub slots: u16,
+    /// Slots that it announces, which may mislead.
+    pub announced_slots: u16,
+    /// Requests that wait for a slot before it sheds load with an error.
+    pub max_waiting: u32,
     /// Mean of the service time.
     pub mean: Duration,
     /// Whether every request takes the mean; otherwise the time is exponential.
@@ -58,6 +62,7 @@
     address: Mutex<Option<SocketAddr>>,
     started: tokio::time::Instant,
     slots: Semaphore,
+    waiting: AtomicU64,
     runs: Mutex<HashMap<String, u32>>,
     /// Whether it answers with an error at once.
     pub failing: AtomicBool,
@@ -67,6 +72,21 @@
     pub slowness_percent: AtomicU64,
 }
 
+impl UpstreamBehaviour {
+    /// An upstream that tells the truth about its slots and takes exponential time.
+    pub fn new(service: &str, slots: u16, mean: Duration) -> Self {
+        Self {
+            service: Arc::from(service),
+            slots,
+            announced_slots: slots,
+            max_waiting: 1_000,
+            mean,
+            fixed: false,
+            cold: Duration::ZERO,
+        }
+    }
+}
+
 impl UpstreamStandIn {
     /// An upstream that has not started.
     pub fn new(behaviour: UpstreamBehaviour) -> Arc<Self> {
@@ -76,6 +96,7 @@
             address: Mutex::default(),
             started: tokio::time::Instant::now(),
             slots,
+            waiting: AtomicU64::new(0),
             runs: Mutex::default(),
             failing: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -132,7 +153,7 @@
             let body = json!({
                 "service": self.behaviour.service,
                 "address": address,
-                "slots": self.behaviour.slots,
+                "slots": self.behaviour.announced_slots,
                 "connections": 260,
                 "draining": self.draining.load(Ordering::Relaxed),
             });
@@ -145,6 +166,8 @@
         match (req.method(), req.uri().path()) {
             (&Method::POST, "/lab/fail") => self.switch(&self.failing),
             (&Method::POST, "/lab/drain") => self.switch(&self.draining),
+            // Its own view of its load is always the same, and wrong.
+            (&Method::GET, "/load") => text(StatusCode::OK, json!({ "running": 0 }).to_string()),
             (&Method::GET, "/lab/runs") => text(StatusCode::OK, json!(self.runs()).to_string()),
             _ => self.work(req).await,
         }
@@ -161,7 +184,13 @@
         }
         let id =
             req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
-        let Ok(_slot) = self.slots.acquire().await else {
+        if self.waiting.fetch_add(1, Ordering::Relaxed) >= u64::from(self.behaviour.max_waiting) {
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
+            return text(StatusCode::SERVICE_UNAVAILABLE, "shedding".into());
+        }
+        let slot = self.slots.acquire().await;
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+        let Ok(_slot) = slot else {
             return text(StatusCode::SERVICE_UNAVAILABLE, "closed".into());
         };
         let long = req.uri().path() == "/long";
--- a/lab/tests/sockets.rs
+++ b/lab/tests/sockets.rs
@@ -72,6 +72,28 @@
     assert_eq!(answer.head.status(), 200);
 }
 
+/// Upstreams that shed load and announce more slots than they have: lookups go on elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_misleads_and_sheds() {
+    let mut members = vec![demo::members().swap_remove(0), demo::members().swap_remove(1)];
+    members[0].behaviour.slots = 1;
+    members[0].behaviour.max_waiting = 1;
+    members[0].behaviour.announced_slots = 100;
+    let fleet = Fleet::start(members, &demo::settings()).await.unwrap();
+    let spec = LoadSpec {
+        service: Arc::from("sizing"),
+        method: Method::GET,
+        path: Arc::from("/"),
+        rate: 200,
+        duration: Duration::from_secs(3),
+    };
+    let result = lab::load::run(spec, fleet.entries(), 1).await;
+    assert_eq!(result.counts.foreign + result.counts.cut, 0);
+    let answered = result.counts.answers as f64 / result.counts.sent as f64;
+    println!("answered {answered}");
+    assert!(answered > 0.5, "failing fast attracts load: {:?}", result.counts);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_unknown_service() {
     let fleet = fleet().await;
