Leave a reserve in the retry budget for failures

Cause: hedges spent the budget, and when an upstream began to fail fast 4 of 4,000 lookups got its error although others could answer. Change: hedges leave five retries. A count, not a share: it is what one entry needs until the failing upstream is reported as shedding.

--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -36,6 +36,9 @@
 /// Bytes that a request spilled to another region is assumed to cost.
 const SPILL_BYTES: u64 = 4_096;
 
+/// Retries that hedges leave in the budget, for when an upstream fails.
+const HEDGE_RESERVE: u64 = 5;
+
 /// Shortest time before a hedge, so that tiny estimates do not double the traffic.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(2);
 
@@ -420,8 +423,9 @@
         tried.push(first.candidate.member.node);
         let req = PickRequest { now, tried: &tried, may_spill: false };
         let pick = pick(cx.table, req, rng)?;
-        if pick.estimate.utilisation >= QUEUE_UTILISATION || !cx.table.state.retries.try_withdraw()
-        {
+        let retries = &cx.table.state.retries;
+        let is_idle = pick.estimate.utilisation < QUEUE_UTILISATION;
+        if !is_idle || retries.available() <= HEDGE_RESERVE || !retries.try_withdraw() {
             return None;
         }
         Some(self.send(now, cx, pick.candidate, false, AttemptCause::Hedge))
