Tell of a leaving member at once, and smaller files

Ruled out: competing updates (bad news first made no difference; kept, since it costs nothing). Change: news that a member takes no more work goes to two random members at once, at most every 50 ms, and from a few nodes to other regions. Also: call.rs and members.rs split by type; no change of behaviour.

--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -1,7 +1,7 @@
 //! One call: a state machine that drives its attempts to an outcome.
 
 use {
-    super::{NotRunReason, Outcome},
+    super::{AttemptCause, CallAction, CallEvent, CallSpec, NotRunReason, Outcome},
     crate::{
         limits::{RefusalReason, TokenBucket},
         routing::{Candidate, Distance, PickRequest, ServiceTable, pick},
@@ -42,25 +42,6 @@
 /// Shortest time before a hedge, so that tiny estimates do not double the traffic.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(2);
 
-record! {
-    /// What a call is allowed to do.
-    #[derive(Copy)]
-    pub struct CallSpec {
-        /// Whether the work may run more than once.
-        pub kind: WorkKind,
-        /// End of the time budget.
-        pub deadline: Tick,
-        /// Whether this request repeats one that failed nearer to the caller; it is then not retried here.
-        pub is_retry: bool,
-        /// Retries and hedges for each hundred requests.
-        pub retry_percent: u32,
-        /// Whether hedges are allowed.
-        pub hedge: bool,
-        /// Whether the request's body can be sent again; if not, there is one attempt.
-        pub replayable: bool,
-    }
-}
-
 /// What a call shares with the other calls of its node.
 #[derive(Clone, Copy, Debug)]
 pub struct CallContext<'a> {
@@ -74,75 +55,6 @@
     pub sequence: &'a AtomicU64,
 }
 
-/// What happened to a call.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum CallEvent {
-    /// The call begins.
-    Started,
-    /// A gate refused an attempt: it did not and will not run.
-    Refused(AttemptId, RefusalReason, Option<LoadReport>),
-    /// The attempt's first byte was never sent.
-    Unsent(AttemptId),
-    /// The connection was lost or fell silent after something was sent.
-    Lost(AttemptId),
-    /// The head of the upstream's answer came.
-    Answered {
-        /// Attempt answered.
-        id: AttemptId,
-        /// Load at the gate.
-        report: Option<LoadReport>,
-        /// Whether the upstream failed in a way that another may not.
-        failed: bool,
-    },
-    /// A gate told what became of an attempt; `None` if it could not be asked.
-    Settled(AttemptId, Option<Settlement>),
-    /// The time asked for by [`CallAction::WakeAt`] came, or was passed.
-    Timer,
-    /// The caller went away.
-    CallerLeft,
-}
-
-value! {
-    /// Why an attempt is sent.
-    pub enum AttemptCause {
-        /// Nothing of the call has run.
-        First,
-        /// An earlier attempt may have run and gave no usable answer.
-        Retry,
-        /// The attempt in flight is slow.
-        Hedge,
-    }
-}
-
-/// What the driver of a call must do.
-#[derive(Clone, Debug)]
-pub enum CallAction {
-    /// Send an attempt to a gate.
-    Send {
-        /// Its name.
-        id: AttemptId,
-        /// Where to.
-        candidate: Arc<Candidate>,
-        /// Whether the gate may queue it.
-        may_queue: bool,
-        /// Why it is sent.
-        cause: AttemptCause,
-    },
-    /// Retire the attempt's connection and ask its gate what became of it.
-    Settle {
-        /// The attempt.
-        id: AttemptId,
-        /// Its gate.
-        candidate: Arc<Candidate>,
-    },
-    /// Cancel an attempt whose answer is not wanted.
-    Cancel(AttemptId),
-    /// Call [`Call::step`] with [`CallEvent::Timer`] at this time.
-    WakeAt(Tick),
-    /// The call ended.
-    Finish(Outcome),
-}
-
 #[derive(Debug)]
 struct Flight {
     id: AttemptId,
--- a/pistachiolane/src/attempt/mod.rs
+++ b/pistachiolane/src/attempt/mod.rs
@@ -2,12 +2,18 @@
 
 mod admission;
 mod call;
+mod call_action;
+mod call_event;
+mod call_spec;
 mod ledger;
 mod outcome;
 
 pub use {
     admission::{Admission, Received, Ticket},
-    call::{AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec},
+    call::{Call, CallContext},
+    call_action::{AttemptCause, CallAction},
+    call_event::CallEvent,
+    call_spec::CallSpec,
     ledger::{BeginError, Ledger, LedgerEntry},
     outcome::{NotRunReason, Outcome},
 };
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -5,7 +5,16 @@
 //! regions, only to pass updates on: a parted region is not suspected.
 
 use {
-    super::{merge::supersedes, updates::Updates},
+    super::{
+        merge::supersedes,
+        timing::{
+            ACK_TIMEOUT, CROSS_REGION_PINGS_PER_SECOND, CROSS_REGION_SPREADERS, EXCHANGE_PERIOD,
+            EXCHANGE_TIME_PER_MEMBER, INDIRECT_PROBES, INDIRECT_TIMEOUT, JOIN_TIMEOUT, KEEP_DEAD,
+            PAUSE, PROBE_PERIOD, REJOIN_PERIOD, SPREAD_FANOUT, SPREAD_PERIOD, SUSPECTS_PERIOD,
+            SUSPICION,
+        },
+        updates::Updates,
+    },
     crate::{
         schema::{Acknowledgement, Health, MemberRecord, Packet, PacketBody, PingRequest},
         tick::Tick,
@@ -18,45 +27,6 @@
     },
 };
 
-/// Time between two pings of a node.
-pub const PROBE_PERIOD: Duration = Duration::from_millis(250);
-
-/// Time after which a ping without acknowledgement is tried through others.
-const ACK_TIMEOUT: Duration = Duration::from_millis(120);
-
-/// Time after which a member that no one reached is suspected.
-const INDIRECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Time after which a suspected member is taken for dead.
-const SUSPICION: Duration = Duration::from_secs(1);
-
-/// Time between two looks for suspects whose time is up and for records to forget.
-const SUSPECTS_PERIOD: Duration = Duration::from_millis(100);
-
-/// Members asked to ping in place of a node.
-const INDIRECT_PROBES: usize = 3;
-
-/// Pings a second that a whole region sends to each other region.
-const CROSS_REGION_PINGS_PER_SECOND: f64 = 8.0;
-
-/// Time for which the record of a dead member is kept, so that stale gossip does not bring it back.
-const KEEP_DEAD: Duration = Duration::from_secs(600);
-
-/// Time between two pings to a seed or a dead member, which heal a parting.
-const REJOIN_PERIOD: Duration = Duration::from_secs(2);
-
-/// Lateness of a timer from which the node was paused and its open probes mean nothing.
-const PAUSE: Duration = Duration::from_millis(300);
-
-/// Shortest time between two full exchanges of a node.
-const EXCHANGE_PERIOD: Duration = Duration::from_secs(5);
-
-/// Time between two full exchanges for each member of the fleet, which bounds their bytes a second.
-const EXCHANGE_TIME_PER_MEMBER: Duration = Duration::from_millis(125);
-
-/// Time after which a node whose seeds are all silent takes itself for the first.
-const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Target of a ping to an address whose node is not known.
 const ANY_NODE: u64 = 0;
 
@@ -136,6 +106,8 @@
     timer_at: Tick,
     probe_at: Tick,
     rejoin_at: Tick,
+    has_urgent_news: bool,
+    spread_at: Tick,
     suspects_at: Tick,
     anti_entropy_at: Tick,
     exchanged_at: Option<Tick>,
@@ -149,7 +121,7 @@
     /// A fleet of which only the node itself and some seed addresses are known.
     pub fn new(now: Tick, own: MemberRecord, seeds: Vec<SocketAddr>) -> Self {
         let mut updates = Updates::default();
-        updates.push(own.node);
+        updates.push(&own);
         Self {
             seeds,
             settings_digest: 0,
@@ -162,6 +134,8 @@
             timer_at: now,
             probe_at: now,
             rejoin_at: now,
+            has_urgent_news: false,
+            spread_at: now,
             suspects_at: now,
             anti_entropy_at: now + EXCHANGE_PERIOD,
             exchanged_at: None,
@@ -257,7 +231,8 @@
     fn own_changed(&mut self, record: MemberRecord, actions: &mut Vec<MembershipAction>) {
         let revision = self.own.revision + 1;
         self.own = MemberRecord { revision, ..record };
-        self.updates.push(self.own.node);
+        self.updates.push(&self.own);
+        self.has_urgent_news |= self.own.health != Health::Alive;
         actions.push(MembershipAction::Changed);
     }
 
@@ -278,6 +253,9 @@
             self.probe_next(now, rng, actions);
             self.probe_other_region(rng, actions);
         }
+        if self.has_urgent_news && now >= self.spread_at {
+            self.spread_news(now, rng, actions);
+        }
         if now >= self.anti_entropy_at {
             self.exchange_with_anyone(now, rng, actions);
         }
@@ -401,12 +379,30 @@
         }
     }
 
+    /// Tells a few members at once that some member takes no more work, rather than with the next pings.
+    fn spread_news<R: Rng>(&mut self, now: Tick, rng: &mut R, actions: &mut Vec<MembershipAction>) {
+        self.has_urgent_news = false;
+        self.spread_at = now + SPREAD_PERIOD;
+        let near: Vec<(u64, SocketAddr)> = self.neighbours().map(|r| (r.node, r.control)).collect();
+        for _ in 0..SPREAD_FANOUT.min(near.len()) {
+            let (node, address) = near[rng.random_range(0..near.len())];
+            self.ping_unwatched(node, address, actions);
+        }
+        // A few of the nodes that hear of it tell other regions.
+        if rng.random_bool((CROSS_REGION_SPREADERS / (near.len() + 1) as f64).min(1.0)) {
+            self.ping_other_region(rng, actions);
+        }
+    }
+
     fn probe_other_region<R: Rng>(&mut self, rng: &mut R, actions: &mut Vec<MembershipAction>) {
         let near = self.neighbours().count() + 1;
         let share = CROSS_REGION_PINGS_PER_SECOND * PROBE_PERIOD.as_secs_f64() / near as f64;
-        if !rng.random_bool(share.min(1.0)) {
-            return;
+        if rng.random_bool(share.min(1.0)) {
+            self.ping_other_region(rng, actions);
         }
+    }
+
+    fn ping_other_region<R: Rng>(&mut self, rng: &mut R, actions: &mut Vec<MembershipAction>) {
         let far: Vec<(u64, SocketAddr)> = self
             .records()
             .filter(|r| r.region != self.own.region && r.health != Health::Dead)
@@ -533,7 +529,7 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         if target == ANY_NODE {
-            self.updates.push(self.own.node);
+            self.updates.push(&self.own);
         }
         let ack = Acknowledgement { target, responder: self.own.node };
         let packet = self.compose(sequence, PacketBody::Ack(ack));
@@ -632,10 +628,11 @@
             // The end of a parting: each side missed what the other did.
             self.exchange(now, record.control, actions);
         }
-        self.known.insert(node, Member { record, changed_at: now });
         if spread == Spread::PassOn {
-            self.updates.push(node);
+            self.updates.push(&record);
+            self.has_urgent_news |= record.health != Health::Alive;
         }
+        self.known.insert(node, Member { record, changed_at: now });
         if !actions.iter().any(|a| matches!(a, MembershipAction::Changed)) {
             actions.push(MembershipAction::Changed);
         }
@@ -645,7 +642,7 @@
     fn refute(&mut self, record: &MemberRecord) {
         if supersedes(record, &self.own) {
             self.own.revision = record.revision + 1;
-            self.updates.push(self.own.node);
+            self.updates.push(&self.own);
         }
     }
 
--- a/pistachiolane/src/membership/mod.rs
+++ b/pistachiolane/src/membership/mod.rs
@@ -2,6 +2,10 @@
 
 mod members;
 mod merge;
+mod timing;
 mod updates;
 
-pub use members::{Members, MembershipAction, MembershipEvent, PROBE_PERIOD};
+pub use {
+    members::{Members, MembershipAction, MembershipEvent},
+    timing::PROBE_PERIOD,
+};
--- a/pistachiolane/src/membership/updates.rs
+++ b/pistachiolane/src/membership/updates.rs
@@ -1,7 +1,7 @@
 //! Member records that still have to be passed on.
 
 use {
-    crate::schema::MemberRecord,
+    crate::schema::{Health, MemberRecord},
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -14,28 +14,44 @@
 /// Encoded size of a record's numbers and addresses, an upper bound in bytes.
 const RECORD_BYTES: usize = 64;
 
-/// Updates ordered by how often they were sent, fewest first.
+value! {
+    /// How soon an update must be known.
+    #[derive(PartialOrd, Ord)]
+    pub enum Urgency {
+        /// A member takes no more work.
+        First,
+        /// Anything else.
+        Then,
+    }
+}
+
+/// Updates ordered by urgency, then by how often they were sent, fewest first.
 #[derive(Debug, Default)]
 pub struct Updates {
-    order: BTreeSet<(u32, u64)>,
-    sends: BTreeMap<u64, u32>,
+    order: BTreeSet<(Urgency, u32, u64)>,
+    sends: BTreeMap<u64, (Urgency, u32)>,
 }
 
 impl Updates {
     /// Adds a member whose record changed; it starts anew if it was there.
-    pub fn push(&mut self, node: u64) {
-        self.remove(node);
-        self.sends.insert(node, 0);
-        self.order.insert((0, node));
+    pub fn push(&mut self, record: &MemberRecord) {
+        let urgency = if record.health == Health::Alive { Urgency::Then } else { Urgency::First };
+        self.remove(record.node);
+        self.insert(urgency, 0, record.node);
     }
 
     /// Removes a member.
     pub fn remove(&mut self, node: u64) {
-        if let Some(sends) = self.sends.remove(&node) {
-            self.order.remove(&(sends, node));
+        if let Some((urgency, sends)) = self.sends.remove(&node) {
+            self.order.remove(&(urgency, sends, node));
         }
     }
 
+    fn insert(&mut self, urgency: Urgency, sends: u32, node: u64) {
+        self.sends.insert(node, (urgency, sends));
+        self.order.insert((urgency, sends, node));
+    }
+
     /// Updates waiting.
     pub fn len(&self) -> usize {
         self.sends.len()
@@ -50,8 +66,8 @@
         let most = SENDS_FACTOR * (usize::BITS - size.leading_zeros()).max(1);
         let mut bytes = 0;
         let mut records = Vec::new();
-        let nodes: Vec<(u32, u64)> = self.order.iter().copied().collect();
-        for (sends, node) in nodes {
+        let nodes: Vec<(Urgency, u32, u64)> = self.order.iter().copied().collect();
+        for (urgency, sends, node) in nodes {
             let Some(record) = record(node) else {
                 self.remove(node);
                 continue;
@@ -63,8 +79,7 @@
             records.push(record);
             self.remove(node);
             if sends + 1 < most {
-                self.sends.insert(node, sends + 1);
-                self.order.insert((sends + 1, node));
+                self.insert(urgency, sends + 1, node);
             }
         }
         records
