--- a/lab/src/stand_in/http_server.rs
+++ b/lab/src/stand_in/http_server.rs
@@ -1,19 +1,21 @@
 //! A small HTTP server around a handler.
 
 use {
-    http_body_util::combinators::UnsyncBoxBody,
-    hyper::{Request, Response, body::Incoming, service::service_fn},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
+    hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo},
         server::conn::auto,
     },
+    serde::Serialize,
     std::convert::Infallible,
     tokio::net::TcpListener,
     tokio_util::sync::CancellationToken,
 };
 
 /// Body of a stand-in's answer.
-pub type Body = UnsyncBoxBody<bytes::Bytes, std::io::Error>;
+pub type Body = UnsyncBoxBody<Bytes, std::io::Error>;
 
 /// Serves connections until `stop` is cancelled; those open then are cut.
 pub async fn serve<F, Fut>(listener: TcpListener, stop: CancellationToken, handler: F)
@@ -42,3 +44,16 @@
         });
     }
 }
+
+/// An answer with a text.
+pub fn text(code: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut res =
+        Response::new(Full::new(text.into()).map_err(|never| match never {}).boxed_unsync());
+    *res.status_mut() = code;
+    res
+}
+
+/// An answer with a JSON value.
+pub fn json<T: Serialize>(code: StatusCode, value: &T) -> Response<Body> {
+    text(code, serde_json::to_vec(value).unwrap_or_default())
+}
--- a/lab/src/stand_in/platform.rs
+++ b/lab/src/stand_in/platform.rs
@@ -1,8 +1,8 @@
 //! The platform's object API: versions, conditional writes, watches, and the faults it has.
 
 use {
-    super::http_server::{Body, serve},
-    http_body_util::{BodyExt, Full},
+    super::http_server::{Body, json, serve, text},
+    http_body_util::BodyExt,
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
     pistachiolane::platform::{Listing, Object, PutAnswer},
     serde::Serialize,
@@ -109,7 +109,7 @@
         let delay = self.faults.delay_ms.load(Ordering::Relaxed);
         sleep(Duration::from_millis(delay)).await;
         if self.faults.down.load(Ordering::Relaxed) {
-            return status(StatusCode::SERVICE_UNAVAILABLE);
+            return text(StatusCode::SERVICE_UNAVAILABLE, "");
         }
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or("").to_owned();
@@ -122,7 +122,7 @@
                 self.put(kind, name, &query, req).await
             }
             (&Method::GET, ["lab", "counts"]) => json(StatusCode::OK, &self.counts()),
-            _ => status(StatusCode::NOT_FOUND),
+            _ => text(StatusCode::NOT_FOUND, ""),
         }
     }
 
@@ -130,7 +130,7 @@
         self.reads.fetch_add(1, Ordering::Relaxed);
         let store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
         match store.objects.get(&(kind.to_owned(), name.to_owned())) {
-            None => status(StatusCode::NOT_FOUND),
+            None => text(StatusCode::NOT_FOUND, ""),
             Some((version, value)) => {
                 let object = Object { name: name.into(), version: *version, value: value.clone() };
                 json(StatusCode::OK, &object)
@@ -185,10 +185,10 @@
     ) -> Response<Body> {
         self.writes.fetch_add(1, Ordering::Relaxed);
         let Ok(body) = req.into_body().collect().await else {
-            return status(StatusCode::BAD_REQUEST);
+            return text(StatusCode::BAD_REQUEST, "");
         };
         let Ok(value) = serde_json::from_slice(&body.to_bytes()) else {
-            return status(StatusCode::BAD_REQUEST);
+            return text(StatusCode::BAD_REQUEST, "");
         };
         let expected = parameter(query, "version").unwrap_or(0);
         let (code, version) = self.write(kind, name, expected, value);
@@ -199,7 +199,7 @@
             .fetch_update(Ordering::SeqCst, Ordering::SeqCst, one_fewer)
             .is_ok();
         if lost {
-            return status(StatusCode::GATEWAY_TIMEOUT);
+            return text(StatusCode::GATEWAY_TIMEOUT, "");
         }
         json(code, &PutAnswer { version })
     }
@@ -222,19 +222,3 @@
 fn parameter(query: &str, name: &str) -> Option<u64> {
     query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name)?.1.parse().ok()
 }
-
-fn status(code: StatusCode) -> Response<Body> {
-    let mut res = Response::new(full(""));
-    *res.status_mut() = code;
-    res
-}
-
-fn json<T: Serialize>(code: StatusCode, value: &T) -> Response<Body> {
-    let mut res = Response::new(full(serde_json::to_vec(value).unwrap_or_default()));
-    *res.status_mut() = code;
-    res
-}
-
-fn full(bytes: impl Into<bytes::Bytes>) -> Body {
-    Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
-}
--- a/lab/src/stand_in/upstream.rs
+++ b/lab/src/stand_in/upstream.rs
@@ -1,9 +1,9 @@
 //! An upstream: slots, service times, and the ways in which it goes wrong.
 
 use {
-    super::http_server::{Body, serve},
+    super::http_server::{Body, json as json_answer, serve, text},
     bytes::Bytes,
-    http_body_util::{BodyExt, Full, StreamBody},
+    http_body_util::{BodyExt, StreamBody},
     hyper::{Method, Request, Response, StatusCode, body::Frame, body::Incoming},
     rand::RngExt,
     serde_json::json,
@@ -167,8 +167,8 @@
             (&Method::POST, "/lab/fail") => self.switch(&self.failing),
             (&Method::POST, "/lab/drain") => self.switch(&self.draining),
             // Its own view of its load is always the same, and wrong.
-            (&Method::GET, "/load") => text(StatusCode::OK, json!({ "running": 0 }).to_string()),
-            (&Method::GET, "/lab/runs") => text(StatusCode::OK, json!(self.runs()).to_string()),
+            (&Method::GET, "/load") => json_answer(StatusCode::OK, &json!({ "running": 0 })),
+            (&Method::GET, "/lab/runs") => json_answer(StatusCode::OK, &self.runs()),
             _ => self.work(req).await,
         }
     }
@@ -180,24 +180,24 @@
 
     async fn work(self: &Arc<Self>, req: Request<Incoming>) -> Response<Body> {
         if self.failing.load(Ordering::Relaxed) {
-            return text(StatusCode::SERVICE_UNAVAILABLE, "failing".into());
+            return text(StatusCode::SERVICE_UNAVAILABLE, "failing");
         }
         let id =
             req.headers().get(REQUEST_ID).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
         if self.waiting.fetch_add(1, Ordering::Relaxed) >= u64::from(self.behaviour.max_waiting) {
             self.waiting.fetch_sub(1, Ordering::Relaxed);
-            return text(StatusCode::SERVICE_UNAVAILABLE, "shedding".into());
+            return text(StatusCode::SERVICE_UNAVAILABLE, "shedding");
         }
         let slot = self.slots.acquire().await;
         self.waiting.fetch_sub(1, Ordering::Relaxed);
         let Ok(_slot) = slot else {
-            return text(StatusCode::SERVICE_UNAVAILABLE, "closed".into());
+            return text(StatusCode::SERVICE_UNAVAILABLE, "closed");
         };
         let long = req.uri().path() == "/long";
         *self.runs.lock().unwrap_or_else(PoisonError::into_inner).entry(id.clone()).or_default() +=
             1;
         let Ok(_body) = req.into_body().collect().await else {
-            return text(StatusCode::BAD_REQUEST, "body lost".into());
+            return text(StatusCode::BAD_REQUEST, "body lost");
         };
         let service_time = self.service_time();
         if !service_time.is_zero() {
@@ -237,10 +237,3 @@
     }
     res
 }
-
-fn text(code: StatusCode, text: String) -> Response<Body> {
-    let body = Full::new(Bytes::from(text)).map_err(|never| match never {}).boxed_unsync();
-    let mut res = Response::new(body);
-    *res.status_mut() = code;
-    res
-}
