--- a/lab/src/cli/args.rs
+++ b/lab/src/cli/args.rs
@@ -31,6 +31,9 @@
     /// Membership.
     #[options(help = "detection, spread and cost of the membership by size")]
     Membership(MembershipArgs),
+    /// Settings.
+    #[options(help = "changes of settings under faults of the platform")]
+    Settings(RunArgs),
     /// Slopes.
     #[options(help = "how the cost of control and of a call grows")]
     Slopes(RunArgs),
--- a/lab/src/cli/run.rs
+++ b/lab/src/cli/run.rs
@@ -6,7 +6,8 @@
         stand_ins,
     },
     crate::{
-        added_latency, codegen, demo, drain, faults, membership, policy, report::Report, slopes,
+        added_latency, codegen, demo, drain, faults, membership, policy, report::Report, settings,
+        slopes,
     },
     gumdrop::Options,
     std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode},
@@ -26,6 +27,9 @@
         Some(Command::AddedLatency(args)) => {
             finish_report(args.json, block_on(added_latency::run(args.seed)))
         }
+        Some(Command::Settings(args)) => {
+            finish_report(args.json, block_on(settings::run(args.seed)))
+        }
         Some(Command::Slopes(args)) => {
             finish_report::<Infallible>(args.json, Ok(slopes::run(args.seed)))
         }
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -99,6 +99,7 @@
     ] {
         report.figure(name, json!(fleet.counter(name).await?));
     }
+    report.figure("paid_bytes_budgeted", json!(fleet.paid_bytes().await?));
     report.figure("platform", json!(fleet.platform.counts()));
     fleet.stop.cancel();
     Ok(report)
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -224,6 +224,20 @@
         Ok(sum)
     }
 
+    /// Bytes to other regions that the nodes took from their budgets for probes and spilled requests.
+    ///
+    /// # Errors
+    /// Fails when a node does not answer.
+    pub async fn paid_bytes(&self) -> Result<u64, FleetError> {
+        let mut sum = 0;
+        for member in self.running() {
+            let text = self.http.get(&format!("http://{}/dump", member.addresses.admin)).await?;
+            let dump: Value = serde_json::from_str(&text).unwrap_or_default();
+            sum += dump["budgets"]["paid_bytes_granted"].as_u64().unwrap_or(0);
+        }
+        Ok(sum)
+    }
+
     /// Times that each request was run, over all upstreams.
     pub fn runs(&self) -> HashMap<String, u32> {
         let mut all = HashMap::new();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod policy;
 pub mod relay;
 pub mod report;
+pub mod settings;
 pub mod slopes;
 pub mod stand_in;
