Platform's budget: shares that add up

Cause: a node's share was never below one call a second, so 4,800 nodes could make 4,800. Change: half of the fleet's 200 calls a second for the watchers, half for all alike, counted in thousandths of a call. Before and after at 4,800 members in 4 regions: sum of the shares 4,800 -> at most 200 calls a second; a watcher keeps 12.5, and needs 0.2. Tested at three sizes.

--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -2,6 +2,7 @@
 
 mod adaptive_limit;
 mod gate;
+mod platform_share;
 mod quantile;
 mod retry_budget;
 mod slots;
@@ -11,6 +12,7 @@
 pub use {
     adaptive_limit::AdaptiveLimit,
     gate::{Arrival, Gate, RefusalReason},
+    platform_share::{MILLI, WATCHERS_PER_REGION, platform_budget, platform_share},
     quantile::Quantile,
     retry_budget::RetryBudget,
     slots::Slots,
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -4,11 +4,13 @@
     super::{control_client, gossip_socket::GossipSocket, shared::Shared},
     crate::{
         config::{Applied, Holder},
+        limits::WATCHERS_PER_REGION,
         membership::{Members, MembershipAction, MembershipEvent},
         routing::RoutingTable,
         schema::{ExchangeReply, Health, MemberRecord, Packet, Placement, Subtree, SubtreeVersion},
     },
     std::{
+        collections::HashSet,
         net::SocketAddr,
         sync::{
             Arc,
@@ -28,9 +30,6 @@
 /// Commands that may wait for the loop.
 const MAX_COMMANDS: usize = 4_096;
 
-/// Nodes of a region that watch the platform.
-const WATCHERS_PER_REGION: usize = 2;
-
 /// Members and settings at one moment, for the dump.
 #[derive(Clone, Debug)]
 pub struct ControlSnapshot {
@@ -236,12 +235,13 @@
         let own = self.members.own().clone();
         let table = RoutingTable::new(&self.shared.table.load(), &own, self.members.living());
         self.shared.table.store(Arc::new(table));
-        let living: std::collections::HashSet<u64> =
-            self.members.living().map(|r| r.node).collect();
+        let living: HashSet<u64> = self.members.living().map(|r| r.node).collect();
         self.shared.hops.retain(|node| living.contains(&node));
         self.shared.metrics.members.set(i64::try_from(living.len()).unwrap_or(i64::MAX));
-        self.shared.platform.share_budget(living.len());
         let watches = is_watcher(&own, self.members.living());
+        let regions: HashSet<&Arc<str>> = self.members.living().map(|r| &r.region).collect();
+        let (members, regions) = (living.len() as u64, regions.len() as u64);
+        self.shared.platform.share_budget(members, regions, watches);
         self.shared.watches.store(watches, Ordering::Relaxed);
     }
 
@@ -331,5 +331,5 @@
         .filter(|r| r.region == own.region && r.health == Health::Alive)
         .filter(|r| rank(r.node) < rank(own.node))
         .count();
-    before < WATCHERS_PER_REGION
+    (before as u64) < WATCHERS_PER_REGION
 }
--- a/pistachiolane/src/platform/client.rs
+++ b/pistachiolane/src/platform/client.rs
@@ -6,7 +6,11 @@
 
 use {
     super::{Listing, Object, PlatformError, PutAnswer},
-    crate::{config::WriteResult, limits::TokenBucket, tick::Tick},
+    crate::{
+        config::WriteResult,
+        limits::{MILLI, TokenBucket, platform_share},
+        tick::Tick,
+    },
     bytes::Bytes,
     http_body_util::{BodyExt, Full},
     hyper::{Method, Request, StatusCode},
@@ -20,10 +24,6 @@
     tokio::time::{Instant, timeout},
 };
 
-/// Calls a second that the whole fleet may make; the platform takes several hundred writes and about two
-/// thousand reads, and serves others too.
-const FLEET_CALLS_PER_SECOND: u64 = 200;
-
 /// Calls that one node may make at once.
 const BURST_CALLS: u64 = 16;
 
@@ -54,16 +54,13 @@
             .retry_canceled_requests(false)
             .pool_max_idle_per_host(2)
             .build_http();
-        let budget = Arc::new(TokenBucket::new(FLEET_CALLS_PER_SECOND, BURST_CALLS));
+        let budget = Arc::new(TokenBucket::new(platform_share(1, 1, true), BURST_CALLS * MILLI));
         Self { base, http, budget, started: Instant::now() }
     }
 
-    /// Sets this node's share of the budget by the fleet's size.
-    pub fn share_budget(&self, members: usize) {
-        let members = members.max(1) as u64;
-        // A share below one call a second still lets a change through within the burst.
-        let rate = (FLEET_CALLS_PER_SECOND / members).max(1);
-        self.budget.set(rate, BURST_CALLS);
+    /// Sets this node's share of the budget by the fleet that it knows.
+    pub fn share_budget(&self, members: u64, regions: u64, is_watcher: bool) {
+        self.budget.set(platform_share(members, regions, is_watcher), BURST_CALLS * MILLI);
     }
 
     /// Reads an object; `None` if there is none.
@@ -131,7 +128,7 @@
         limit: Duration,
     ) -> Result<Answer, PlatformError> {
         let now = Tick(crate::tick::micros(self.started.elapsed()));
-        if !self.budget.try_take(now, 1) {
+        if !self.budget.try_take(now, MILLI) {
             return Err(PlatformError::OverBudget);
         }
         let req = Request::builder()
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -4,7 +4,7 @@
     pistachiolane::{
         limits::{
             AdaptiveLimit, Arrival, Gate, Queued, RefusalReason, RetryBudget, TokenBucket,
-            WaitQueue,
+            WATCHERS_PER_REGION, WaitQueue, platform_budget, platform_share,
         },
         schema::GateState,
         tick::Tick,
@@ -171,6 +171,18 @@
     assert!(!gate.has_queue());
 }
 
+#[test_case(1, 1; "first node")]
+#[test_case(6, 2; "today")]
+#[test_case(4_800, 4; "target")]
+fn platform_shares_within_budget(members: u64, regions: u64) {
+    let watchers = (regions * WATCHERS_PER_REGION).min(members);
+    let watching = watchers * platform_share(members, regions, true);
+    let others = (members - watchers) * platform_share(members, regions, false);
+    assert!(watching + others <= platform_budget());
+    // A watcher renews its watch and looks at the seeds every ten seconds.
+    assert!(platform_share(members, regions, true) >= 1_000);
+}
+
 #[test]
 fn retry_budget_is_a_share() {
     let budget = RetryBudget::default();
