--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -301,7 +301,7 @@
             hedge: true,
             replayable: true,
         };
-        let mut call = Call::new(now, spec);
+        let mut call = Call::new(spec);
         for action in call.step(now, cx, &mut rng, CallEvent::Started) {
             let CallAction::Send { id, may_queue, .. } = action else { continue };
             let header = AttemptHeader {
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -68,7 +68,6 @@
 #[derive(Debug)]
 pub struct Call {
     spec: CallSpec,
-    started: Tick,
     flights: Vec<Flight>,
     busy: Vec<u64>,
     excluded: Vec<u64>,
@@ -81,10 +80,9 @@
 
 impl Call {
     /// A call that has not begun.
-    pub fn new(now: Tick, spec: CallSpec) -> Self {
+    pub fn new(spec: CallSpec) -> Self {
         Self {
             spec,
-            started: now,
             flights: Vec::new(),
             busy: Vec::new(),
             excluded: Vec::new(),
@@ -463,11 +461,6 @@
         actions.push(CallAction::Finish(outcome));
         actions
     }
-
-    /// Time since the call began.
-    pub fn age(&self, now: Tick) -> Duration {
-        now.since(self.started)
-    }
 }
 
 fn may_spill(now: Tick, cx: CallContext<'_>) -> bool {
--- a/pistachiolane/src/attempt/ledger.rs
+++ b/pistachiolane/src/attempt/ledger.rs
@@ -171,12 +171,6 @@
         entry.settle(now)
     }
 
-    /// Whether a connection of an entry was retired.
-    pub fn is_retired(&self, entry: u64, connection: u64) -> bool {
-        let entries = self.entries.pin();
-        entries.get(&entry).is_some_and(|r| connection <= r.retired.load(Ordering::SeqCst))
-    }
-
     /// Forgets what ended long ago. Running attempts are never forgotten.
     ///
     /// One caller at a time.
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -154,7 +154,7 @@
             || Arc::new(ServiceTable::new(Arc::clone(service), Vec::new(), Arc::default()));
         let table = self.table.service(service).map_or_else(unknown, Arc::clone);
         table.eject_stragglers(now);
-        self.calls.insert(call, OpenCall { call: Call::new(now, spec), table });
+        self.calls.insert(call, OpenCall { call: Call::new(spec), table });
         self.call(now, rng, call, CallEvent::Started)
     }
 
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -132,7 +132,7 @@
             req,
             spec,
             caller,
-            call: Call::new(self.shared.now(), spec),
+            call: Call::new(spec),
             attempts: FuturesUnordered::new(),
             sent: Vec::new(),
             hedge: None,
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -39,6 +39,8 @@
     pub subtrees: Vec<Subtree>,
     /// Member updates that still have to be passed on.
     pub waiting_updates: usize,
+    /// Member records dropped because the fleet is larger than is held.
+    pub dropped_records: u64,
 }
 
 #[derive(Debug)]
@@ -291,6 +293,7 @@
             members: own.chain(self.members.records().cloned()).collect(),
             subtrees: self.holder.subtrees().cloned().collect(),
             waiting_updates: self.members.waiting_updates(),
+            dropped_records: self.members.dropped_records(),
         }
     }
 }
--- a/pistachiolane/src/node/status.rs
+++ b/pistachiolane/src/node/status.rs
@@ -60,6 +60,7 @@
         "gate": gate_state(shared),
         "routing": routing,
         "members": members,
+        "dropped_records": snapshot.as_ref().map(|s| s.dropped_records),
         "waiting_updates": snapshot.as_ref().map(|s| s.waiting_updates),
         "hops": shared.hops.len(),
         "attempts": shared.attempts.load(Ordering::Relaxed),
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -60,7 +60,7 @@
             paid: TokenBucket::new(0, 0),
             sequence: AtomicU64::new(0),
             rng: SmallRng::seed_from_u64(1),
-            call: Call::new(Tick(0), spec),
+            call: Call::new(spec),
         }
     }
 
@@ -167,7 +167,7 @@
             hedge: true,
             replayable: true,
         };
-        bench.call = Call::new(Tick(0), spec);
+        bench.call = Call::new(spec);
         bench.start();
         let actions = bench.step(Tick(500_000), CallEvent::Timer);
         hedges += usize::from(sent(&actions).is_some_and(|(_, c)| c == AttemptCause::Hedge));
@@ -188,7 +188,7 @@
         hedge: true,
         replayable: true,
     };
-    bench.call = Call::new(Tick(0), spec);
+    bench.call = Call::new(spec);
     let first = bench.start();
     let end = bench.step(Tick(1), CallEvent::Lost(first));
     assert_eq!(finished(&end), Some(Outcome::Unknown));
