Attempts between nodes are authenticated

Cause: anyone who reached a gate's port could hand it work in a node's name. Change: the attempt's header carries the fleet's keyed tag, as gossip and control do. A header of another key is refused (tests/wire.rs).

--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -288,6 +288,7 @@
     let (paid, sequence) = (TokenBucket::new(1, 1), AtomicU64::new(0));
     let cx = CallContext { entry: 1, table: &table, paid: &paid, sequence: &sequence };
     let mut rng = SmallRng::seed_from_u64(seed);
+    let key = FleetKey::new("slopes");
     let mut gate_time = Duration::ZERO;
     let before = resident_bytes();
     let started = Instant::now();
@@ -314,9 +315,9 @@
                 service: Arc::clone(&service),
                 caller: Arc::clone(&service),
             };
-            let text = encode_header(&header).unwrap_or_default();
+            let text = key.encode_header(&header).unwrap_or_default();
             let entered = Instant::now();
-            let header: AttemptHeader = decode_header(text.as_bytes()).unwrap_or(header);
+            let header: AttemptHeader = key.decode_header(text.as_bytes()).unwrap_or(header);
             if let Received::Run(ticket) = admission.receive(now, &header) {
                 ticket.start();
                 admission.gate.observe(now, Duration::from_millis(5), true);
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -16,7 +16,7 @@
         routing::{Candidate, ServiceTable},
         schema::{
             AttemptHeader, AttemptId, LoadReport, SettleRequest, Settlement, WorkKind,
-            decode_header, encode_header,
+            decode_header,
         },
         tick::Tick,
     },
@@ -367,7 +367,12 @@
     let stamp = |req: &mut Request<Body>, number: u64| {
         used.store(number, Ordering::SeqCst);
         let attempt = AttemptHeader { connection: number, ..attempt.clone() };
-        let value = encode_header(&attempt).ok().and_then(|v| HeaderValue::try_from(v).ok());
+        let value = shared
+            .settings
+            .fleet_key
+            .encode_header(&attempt)
+            .ok()
+            .and_then(|v| HeaderValue::try_from(v).ok());
         if let Some(value) = value {
             req.headers_mut().insert(headers::ATTEMPT, value);
         }
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -12,7 +12,7 @@
         attempt::{Received, Ticket},
         limits::RefusalReason,
         metrics::Metrics,
-        schema::{AttemptHeader, WireError, decode_header},
+        schema::{AttemptHeader, FleetKey, WireError},
         tick::Tick,
     },
     http_body_util::BodyExt,
@@ -188,7 +188,7 @@
         {
             return self.probe();
         }
-        let Ok(attempt) = attempt_header(&req) else {
+        let Ok(attempt) = attempt_header(&self.shared.settings.fleet_key, &req) else {
             self.shared.metrics.malformed.inc();
             return responses::text(StatusCode::BAD_REQUEST, "no attempt");
         };
@@ -306,9 +306,9 @@
     }
 }
 
-fn attempt_header(req: &Request<Incoming>) -> Result<AttemptHeader, WireError> {
+fn attempt_header(key: &FleetKey, req: &Request<Incoming>) -> Result<AttemptHeader, WireError> {
     let value = req.headers().get(headers::ATTEMPT).ok_or(WireError::Malformed)?;
-    decode_header(value.as_bytes())
+    key.decode_header(value.as_bytes())
 }
 
 /// Addresses a request to the upstream and tells it the remaining budget and the depth.
--- a/pistachiolane/src/schema/wire.rs
+++ b/pistachiolane/src/schema/wire.rs
@@ -82,6 +82,24 @@
         Ok(self.seal(message))
     }
 
+    /// Encodes a message with its tag as the value of an HTTP header.
+    ///
+    /// # Errors
+    /// Fails when the message cannot be encoded.
+    pub fn encode_header<T: Serialize>(&self, message: &T) -> Result<String, WireError> {
+        let message = postcard::to_stdvec(message).map_err(malformed)?;
+        Ok(URL_SAFE_NO_PAD.encode(self.seal(message)))
+    }
+
+    /// Decodes a message from the value of an HTTP header after checking its tag.
+    ///
+    /// # Errors
+    /// Fails when the tag or the encoding is wrong.
+    pub fn decode_header<T: DeserializeOwned>(&self, value: &[u8]) -> Result<T, WireError> {
+        let sealed = URL_SAFE_NO_PAD.decode(value).map_err(|_e| WireError::Malformed)?;
+        postcard::from_bytes(self.open(&sealed)?).map_err(malformed)
+    }
+
     /// Decodes a gossip packet after checking its tag.
     ///
     /// # Errors
--- a/pistachiolane/tests/wire.rs
+++ b/pistachiolane/tests/wire.rs
@@ -61,6 +61,15 @@
     }
 }
 
+#[test]
+fn header_of_another_key() {
+    let (own, other) = (FleetKey::new("own"), FleetKey::new("other"));
+    let text = other.encode_header(&LoadReport::default()).unwrap();
+    let read = own.decode_header::<LoadReport>(text.as_bytes());
+    assert_eq!(read.err(), Some(WireError::NotAuthenticated));
+    assert_eq!(other.decode_header::<LoadReport>(text.as_bytes()), Ok(LoadReport::default()));
+}
+
 #[test]
 fn fleet_key_rotation() {
     let (old, new) = (FleetKey::new("old"), FleetKey::new("new"));
