--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -1,6 +1,9 @@
 //! One call's state machine.
 
+mod common;
+
 use {
+    common::member,
     pistachiolane::{
         attempt::{
             AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec, NotRunReason, Outcome,
@@ -8,7 +11,7 @@
         limits::{RefusalReason, TokenBucket},
         membership::{Members, MembershipEvent},
         routing::{Candidate, Distance, ServiceTable},
-        schema::{AttemptId, Health, MemberRecord, Placement, Settlement, WorkKind},
+        schema::{AttemptId, Settlement, WorkKind},
         tick::Tick,
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -29,19 +32,6 @@
     call: Call,
 }
 
-fn member(node: u64) -> MemberRecord {
-    MemberRecord {
-        node,
-        revision: 1,
-        health: Health::Alive,
-        gate: "127.0.0.1:1".parse().unwrap(),
-        control: "127.0.0.1:2".parse().unwrap(),
-        region: "svealand".into(),
-        zone: "svealand-1".into(),
-        upstreams: vec![Placement { service: "orders".into(), slots: 10 }],
-    }
-}
-
 impl Bench {
     fn new(kind: WorkKind, upstreams: u64) -> Self {
         let candidates = (1..=upstreams)
@@ -56,7 +46,7 @@
             replayable: true,
         };
         Self {
-            table: ServiceTable::new("orders".into(), candidates, Arc::default()),
+            table: ServiceTable::new("sizing".into(), candidates, Arc::default()),
             paid: TokenBucket::new(0, 0),
             sequence: AtomicU64::new(0),
             rng: SmallRng::seed_from_u64(1),
--- /dev/null
+++ b/pistachiolane/tests/common/mod.rs
@@ -0,0 +1,17 @@
+//! Records that several tests need.
+
+use pistachiolane::schema::{Health, MemberRecord, Placement};
+
+/// A living member beside an upstream with ten slots.
+pub fn member(node: u64) -> MemberRecord {
+    MemberRecord {
+        node,
+        revision: 1,
+        health: Health::Alive,
+        gate: "127.0.0.1:1".parse().unwrap(),
+        control: "127.0.0.1:2".parse().unwrap(),
+        region: "svealand".into(),
+        zone: "svealand-1".into(),
+        upstreams: vec![Placement { service: "sizing".into(), slots: 10 }],
+    }
+}
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -1,10 +1,13 @@
 //! Candidates, picks, ejection and probes.
 
+mod common;
+
 use {
+    common::member,
     pistachiolane::{
         limits::TokenBucket,
         routing::{Candidate, Distance, PickRequest, ProbeBudget, ServiceTable, next_probe, pick},
-        schema::{GateState, Health, LoadReport, MemberRecord, Placement},
+        schema::{GateState, Health, LoadReport},
         tick::Tick,
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -14,19 +17,6 @@
 
 const NOW: Tick = Tick(10_000_000);
 
-fn member(node: u64) -> MemberRecord {
-    MemberRecord {
-        node,
-        revision: 1,
-        health: Health::Alive,
-        gate: "127.0.0.1:1".parse().unwrap(),
-        control: "127.0.0.1:2".parse().unwrap(),
-        region: "svealand".into(),
-        zone: "svealand-1".into(),
-        upstreams: vec![Placement { service: "sizing".into(), slots: 10 }],
-    }
-}
-
 fn table(distances: &[Distance]) -> ServiceTable {
     let candidates = distances
         .iter()
