Test: a caller that goes away cancels its work at the upstream

Measured (lab/tests/sockets.rs): a two-second download whose caller left is never sent to its end, and the gate's slot is free. It held at once; nothing was changed for it.

--- a/lab/src/stand_in/upstream.rs
+++ b/lab/src/stand_in/upstream.rs
@@ -64,6 +64,8 @@
     slots: Semaphore,
     waiting: AtomicU64,
     runs: Mutex<HashMap<String, u32>>,
+    /// Long downloads that were sent to their end.
+    pub whole_downloads: Arc<AtomicU64>,
     /// Whether it answers with an error at once.
     pub failing: AtomicBool,
     /// Whether it asks for no new work.
@@ -98,6 +100,7 @@
             slots,
             waiting: AtomicU64::new(0),
             runs: Mutex::default(),
+            whole_downloads: Arc::default(),
             failing: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             slowness_percent: AtomicU64::new(100),
@@ -203,7 +206,11 @@
         if !service_time.is_zero() {
             sleep(service_time).await;
         }
-        if long { download(&id) } else { named(&id, text(StatusCode::OK, format!("answer {id}"))) }
+        if long {
+            download(&id, &self.whole_downloads)
+        } else {
+            named(&id, text(StatusCode::OK, format!("answer {id}")))
+        }
     }
 
     fn service_time(&self) -> Duration {
@@ -218,15 +225,19 @@
 }
 
 /// A download of a few seconds that ends with the request's identity.
-fn download(id: &str) -> Response<Body> {
-    let parts = futures::stream::unfold((0_u32, id.to_owned()), |(part, id)| async move {
+fn download(id: &str, whole: &Arc<AtomicU64>) -> Response<Body> {
+    let start = (0_u32, id.to_owned(), Arc::clone(whole));
+    let parts = futures::stream::unfold(start, |(part, id, whole)| async move {
         let bytes = match part {
             0..100 => Bytes::from(vec![b'.'; PART_BYTES]),
             100 => Bytes::from(format!("answer {id}")),
-            _ => return None,
+            _ => {
+                whole.fetch_add(1, Ordering::Relaxed);
+                return None;
+            }
         };
         sleep(PART_PAUSE).await;
-        Some((Ok(Frame::data(bytes)), (part + 1, id)))
+        Some((Ok(Frame::data(bytes)), (part + 1, id, whole)))
     });
     named(id, Response::new(StreamBody::new(parts).boxed_unsync()))
 }
--- a/lab/tests/sockets.rs
+++ b/lab/tests/sockets.rs
@@ -94,6 +94,20 @@
     assert!(answered > 0.5, "failing fast attracts load: {:?}", result.counts);
 }
 
+/// A caller that goes away cancels its download at the upstream; the slot is free again.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_cancelled_by_its_caller() {
+    let fleet = fleet().await;
+    let head = "GET /long HTTP/1.1\r\nhost: sizing\r\n\r\n";
+    assert!(raw(&fleet, head).await.starts_with("HTTP/1.1 200"));
+    // Longer than the download would take; `raw` has closed its connection.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(fleet.members[0].upstream.whole_downloads.load(Ordering::SeqCst), 0);
+    let dump = fleet.http.get(&format!("http://{}/dump", fleet.members[0].addresses.admin)).await;
+    let dump: Value = serde_json::from_str(&dump.unwrap()).unwrap();
+    assert_eq!(dump["gate"]["running"], 0);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_unknown_service() {
     let fleet = fleet().await;
