Nodes that start together find each other

Cause: six processes that started at once, with the platform as the only way to find each other, each read an empty list of seeds, took itself for the first and called itself ready; the next look at the list came 5 to 15 s later. lab/processes.sh, last run before: 133 of 2,400 lookups told no-upstream, which was true for what the node knew and wrong for the fleet. Ruled out: the killed node (its connections were refused and others picked). Change: a node takes itself for the only one when it sees itself named and nobody else, and looks again soon, with back-off, while it is alone. A unit test holds the rule. Before and after (lab/processes.sh): lookups not run 133 -> 0 of 2,400.

--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -154,8 +154,9 @@
 
     /// Adds seed addresses, as those that the platform names.
     pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
-        self.seeds_asked = true;
         for seed in seeds {
+            // Only a node that sees itself named can tell that nobody else is.
+            self.seeds_asked |= seed == self.own.control;
             if seed != self.own.control && !self.seeds.contains(&seed) {
                 self.seeds.push(seed);
             }
--- a/pistachiolane/src/node/platform_task.rs
+++ b/pistachiolane/src/node/platform_task.rs
@@ -111,6 +111,7 @@
 /// Joins by the platform's seeds, then keeps the region's seeds alive while the node is a watcher.
 pub async fn run_seeds(shared: Arc<Shared>, control: ControlHandle) {
     let mut backoff = Backoff::new();
+    let mut alone = Backoff::new();
     loop {
         let listing = shared.platform.list(SEEDS_KIND).await;
         count(&shared, &listing);
@@ -121,6 +122,11 @@
                 let seeds = listing.items.iter().flat_map(addresses).collect();
                 control.seeds(seeds).await;
                 refresh(&shared, &control, &listing).await;
+                if control.members().await.len() <= 1 {
+                    // Others may start at this moment, and be named a moment later.
+                    alone.pause().await;
+                    continue;
+                }
                 let jitter: f64 = rand::rng().random_range(0.5..1.5);
                 sleep(SEEDS_PERIOD.mul_f64(jitter)).await;
                 wait_until_watcher(&shared).await;
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -193,6 +193,8 @@
     let alone = {
         let mut alone = Members::new(Tick(0), member(1), Vec::new());
         alone.add_seeds([]);
+        assert!(!alone.has_joined(Tick(1)), "others may be starting at this moment");
+        alone.add_seeds([member(1).control]);
         alone
     };
     assert!(alone.has_joined(Tick(1)));
