Call what is there instead of writing it again

Cause, found by rereading the change: entry and attempt driver each decoded the load report's header; a settings exchange copied all members to find a few subtrees, beside Holder::copies, which only a test called; Candidate::eject told a result that nobody read. Change: headers::report for both; the control loop answers with Holder::copies; the result type is gone. No change of behaviour, no check touched.

--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -14,10 +14,7 @@
         limits::RefusalReason,
         metrics::Metrics,
         routing::{Candidate, ServiceTable},
-        schema::{
-            AttemptHeader, AttemptId, LoadReport, SettleRequest, Settlement, WorkKind,
-            decode_header,
-        },
+        schema::{AttemptHeader, AttemptId, LoadReport, SettleRequest, Settlement, WorkKind},
         tick::Tick,
     },
     bytes::Bytes,
@@ -386,10 +383,7 @@
 
 /// Tells a gate's refusal, doubt and answer apart.
 fn read_answer(mut res: Response<Body>) -> AttemptEnd {
-    let report = res
-        .headers()
-        .get(headers::REPORT)
-        .and_then(|value| decode_header::<LoadReport>(value.as_bytes()).ok());
+    let report = headers::report(res.headers());
     if let Some(reason) = res.headers().get(headers::REFUSED) {
         return AttemptEnd::Refused(RefusalReason::from_name(reason.as_bytes()), report);
     }
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -49,6 +49,7 @@
     Records(Vec<MemberRecord>),
     Exchange(Vec<SubtreeVersion>, oneshot::Sender<ExchangeReply>),
     Apply(Vec<Subtree>, oneshot::Sender<()>),
+    Copies(Vec<Arc<str>>, oneshot::Sender<Vec<Subtree>>),
     Version(Arc<str>, oneshot::Sender<u64>),
     Snapshot(oneshot::Sender<ControlSnapshot>),
     Seeds(Vec<SocketAddr>),
@@ -112,6 +113,11 @@
         self.ask(|reply| Command::Apply(subtrees, reply)).await;
     }
 
+    /// Those of the named subtrees that are held.
+    pub async fn copies(&self, names: Vec<Arc<str>>) -> Vec<Subtree> {
+        self.ask(|reply| Command::Copies(names, reply)).await.unwrap_or_default()
+    }
+
     /// Version held of a subtree, zero if none.
     pub async fn version(&self, name: Arc<str>) -> u64 {
         self.ask(|reply| Command::Version(name, reply)).await.unwrap_or(0)
@@ -186,6 +192,9 @@
                 self.apply(subtrees);
                 let _gone = reply.send(());
             }
+            Command::Copies(names, reply) => {
+                let _gone = reply.send(self.holder.copies(&names));
+            }
             Command::Version(name, reply) => {
                 let _gone = reply.send(self.holder.version(&name));
             }
@@ -316,11 +325,7 @@
     if reply.wanted.is_empty() {
         return;
     }
-    let Some(snapshot) = handle.snapshot().await else {
-        return;
-    };
-    let wanted = |s: &Subtree| reply.wanted.contains(&s.name);
-    let subtrees = snapshot.subtrees.into_iter().filter(wanted).collect();
+    let subtrees = handle.copies(reply.wanted).await;
     // The peer finds the difference again if this is lost.
     let _lost = control_client::push(key, from, subtrees).await;
 }
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -14,7 +14,7 @@
         config::Limits,
         metrics::Metrics,
         routing::{Candidate, ProbeBudget, ServiceTable, next_probe},
-        schema::{LoadReport, ServiceSettings, decode_header},
+        schema::ServiceSettings,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Limited},
@@ -255,10 +255,7 @@
     let Ok(Ok(res)) = timeout(PROBE_TIMEOUT, sent).await else {
         return;
     };
-    let report = res
-        .headers()
-        .get(headers::REPORT)
-        .and_then(|value| decode_header::<LoadReport>(value.as_bytes()).ok());
+    let report = headers::report(res.headers());
     if let Some(report) = report {
         candidate.report(shared.now(), &report);
     }
--- a/pistachiolane/src/node/headers.rs
+++ b/pistachiolane/src/node/headers.rs
@@ -1,6 +1,9 @@
 //! Headers of the system's own.
 
-use hyper::{HeaderMap, header::HeaderName};
+use {
+    crate::schema::{LoadReport, decode_header},
+    hyper::{HeaderMap, header::HeaderName},
+};
 
 /// Prefix of all headers of the system.
 const PREFIX: &str = "pistachiolane-";
@@ -64,6 +67,11 @@
     }
 }
 
+/// The load report of a gate's answer, if it carries one.
+pub fn report(headers: &HeaderMap) -> Option<LoadReport> {
+    decode_header(headers.get(REPORT)?.as_bytes()).ok()
+}
+
 /// A number in a header, if it is there and is one.
 pub fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.parse().ok()
--- a/pistachiolane/src/routing/candidate.rs
+++ b/pistachiolane/src/routing/candidate.rs
@@ -27,16 +27,6 @@
 /// Smoothing of the link's round trip, as a divisor.
 const LINK_SMOOTHING: u64 = 8;
 
-value! {
-    /// Effect of an observation on ejection, for logs and counters.
-    pub enum EjectionChange {
-        /// The upstream was ejected.
-        Ejected,
-        /// Nothing changed.
-        Unchanged,
-    }
-}
-
 /// An upstream with the last report of its gate and what the entry itself knows.
 ///
 /// All methods may be called by many threads at once; fields of one report may be read mixed with the
@@ -141,14 +131,13 @@
     }
 
     /// Ejects the upstream for a time that doubles with each ejection.
-    pub fn eject(&self, now: Tick) -> EjectionChange {
+    pub fn eject(&self, now: Tick) {
         if self.is_ejected(now) {
-            return EjectionChange::Unchanged;
+            return;
         }
         let count = self.ejections.fetch_add(1, Ordering::Relaxed).min(5);
         let time = (FIRST_EJECTION * (1 << count)).min(MAX_EJECTION);
         self.ejected_until.store((now + time).0, Ordering::Relaxed);
-        EjectionChange::Ejected
     }
 
     /// Whether the upstream is ejected.
--- a/pistachiolane/src/routing/mod.rs
+++ b/pistachiolane/src/routing/mod.rs
@@ -9,7 +9,7 @@
 mod table;
 
 pub use {
-    candidate::{Candidate, EjectionChange},
+    candidate::Candidate,
     distance::Distance,
     estimate::{Estimate, ServiceNorm},
     pick::{Pick, PickRequest, pick},
