--- a/lab/src/faults/world.rs
+++ b/lab/src/faults/world.rs
@@ -239,6 +239,7 @@
             budget_us: 1_000_000,
             repeatable: candidate.member.upstreams[0].service.as_ref() == "lookups",
             may_queue,
+            priority: 0,
             service: Arc::clone(&candidate.member.upstreams[0].service),
             caller: Arc::from(if call.is_multiple_of(3) { "" } else { "lookups" }),
         };
@@ -394,6 +395,8 @@
             retry_percent: 20,
             hedge: true,
             replayable: true,
+            max_attempts: 3,
+            priority: 0,
         };
         self.truth.begin(call, kind);
         self.probe(host, &service);
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -168,7 +168,8 @@
         let seeds: Vec<String> =
             self.members.iter().take(3).map(|m| m.addresses.control.to_string()).collect();
         let settings = self.settings(&addresses, &spec, &seeds.join(","))?;
-        let node = node::run(settings).await?;
+        let integration = platform::own_interface(Arc::clone(&settings.platform));
+        let node = node::run(settings, integration).await?;
         let upstream = UpstreamStandIn::new(spec.behaviour.clone());
         let upstream_stop = self.stop.child_token();
         upstream.start(loopback(0), addresses.admin, upstream_stop.clone()).await?;
@@ -318,7 +319,11 @@
             };
             Some(value)
         };
-        Ok(ProcessSettings::new(&SettingsSource { flag: &flag, env: &|_| None })?)
+        Ok(ProcessSettings::new(&SettingsSource {
+            flag: &flag,
+            env: &|_| None,
+            derived: &|_| None,
+        })?)
     }
 }
 
--- a/lab/src/policy/model.rs
+++ b/lab/src/policy/model.rs
@@ -251,6 +251,8 @@
                 retry_percent: 10,
                 hedge: self.policy == Policy::Pistachiolane,
                 replayable: true,
+                max_attempts: 3,
+                priority: 0,
             };
             let service = Arc::from("sizing");
             self.step(entry, EngineEvent::Request { call, service, spec });
@@ -395,6 +397,7 @@
                     budget_us: micros(TIMEOUT),
                     repeatable: true,
                     may_queue,
+                    priority: 0,
                     service: Arc::from("sizing"),
                     caller: Arc::from(""),
                 };
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -301,6 +301,8 @@
             retry_percent: 10,
             hedge: true,
             replayable: true,
+            max_attempts: 3,
+            priority: 0,
         };
         let mut call = Call::new(spec);
         for action in call.step(now, cx, &mut rng, CallEvent::Started) {
@@ -312,6 +314,7 @@
                 budget_us: 1_000_000,
                 repeatable: false,
                 may_queue,
+                priority: 0,
                 service: Arc::clone(&service),
                 caller: Arc::clone(&service),
             };
--- a/lab/src/stand_in/platform.rs
+++ b/lab/src/stand_in/platform.rs
@@ -1,17 +1,17 @@
-//! The platform's object API: versions, conditional writes, watches, and the faults it has.
+//! The platform's store: revisions, conditional writes, watches, history, and the faults it has.
 
 use {
     super::http_server::{Body, json, serve, text},
     http_body_util::BodyExt,
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
-    pistachiolane::platform::{Listing, Object, PutAnswer},
+    platform::{StoredMetadata, StoredObject},
     serde::Serialize,
-    serde_json::Value,
+    serde_json::{Value, json as value},
     std::{
         collections::BTreeMap,
         net::SocketAddr,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -44,12 +44,31 @@
     pub delay_ms: AtomicU64,
     /// Writes to come whose answer is lost after they took effect.
     pub lose_answers: AtomicU64,
+    /// Revision from which the history is kept; a watch from before it is told that it is gone.
+    pub history_from: AtomicU64,
 }
 
 #[derive(Debug, Default)]
 struct Store {
     revision: u64,
-    objects: BTreeMap<(String, String), (u64, Value)>,
+    objects: BTreeMap<(String, String), StoredObject>,
+    history: Vec<Event>,
+}
+
+/// One change, for watches.
+#[derive(Clone, Debug)]
+struct Event {
+    kind: String,
+    object: StoredObject,
+    deleted: bool,
+}
+
+/// What a write asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Write {
+    Create,
+    Replace { expected: Option<u64> },
+    Delete { expected: Option<u64> },
 }
 
 /// The stand-in.
@@ -114,84 +133,104 @@
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or("").to_owned();
         let parts: Vec<&str> = path.split('/').filter(|p| !p.is_empty()).collect();
-        match (req.method(), parts.as_slice()) {
-            (&Method::GET, ["v1", "objects", kind]) => self.list(kind, &query).await,
-            (&Method::GET, ["v1", "objects", kind, name]) => self.get(kind, name),
-            (&Method::PUT, ["v1", "objects", kind, name]) => {
-                let (kind, name) = ((*kind).to_owned(), (*name).to_owned());
-                self.put(kind, name, &query, req).await
+        match (req.method().clone(), parts.as_slice()) {
+            (Method::GET, ["pistachiolane", "objects", kind]) => self.list(kind, &query).await,
+            (Method::GET, ["pistachiolane", "objects", kind, name]) => self.get(kind, name),
+            (Method::POST, ["pistachiolane", "objects", kind]) => {
+                self.write(kind, "", Write::Create, req).await
+            }
+            (Method::PUT, ["pistachiolane", "objects", kind, name]) => {
+                self.write(kind, name, Write::Replace { expected: None }, req).await
             }
-            (&Method::GET, ["lab", "counts"]) => json(StatusCode::OK, &self.counts()),
+            (Method::DELETE, ["pistachiolane", "objects", kind, name]) => {
+                let expected = parameter(&query, "revision");
+                self.write(kind, name, Write::Delete { expected }, req).await
+            }
+            (Method::GET, ["lab", "counts"]) => json(StatusCode::OK, &self.counts()),
             _ => text(StatusCode::NOT_FOUND, ""),
         }
     }
 
+    fn store(&self) -> MutexGuard<'_, Store> {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn get(&self, kind: &str, name: &str) -> Response<Body> {
         self.reads.fetch_add(1, Ordering::Relaxed);
-        let store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
-        match store.objects.get(&(kind.to_owned(), name.to_owned())) {
+        match self.store().objects.get(&(kind.to_owned(), name.to_owned())) {
             None => text(StatusCode::NOT_FOUND, ""),
-            Some((version, value)) => {
-                let object = Object { name: name.into(), version: *version, value: value.clone() };
-                json(StatusCode::OK, &object)
-            }
+            Some(object) => json(StatusCode::OK, object),
         }
     }
 
     async fn list(&self, kind: &str, query: &str) -> Response<Body> {
         self.reads.fetch_add(1, Ordering::Relaxed);
-        let since = parameter(query, "watch");
-        if let Some(since) = since {
-            self.watches.fetch_add(1, Ordering::Relaxed);
-            self.wait(kind, since, parameter(query, "wait_ms").unwrap_or(0)).await;
+        let Some(since) = parameter(query, "watch") else {
+            return json(StatusCode::OK, &self.page(kind));
+        };
+        self.watches.fetch_add(1, Ordering::Relaxed);
+        if since < self.faults.history_from.load(Ordering::Relaxed) {
+            return text(StatusCode::GONE, "");
         }
-        json(StatusCode::OK, &self.listing(kind, since.unwrap_or(0)))
+        self.wait(kind, since, parameter(query, "wait_ms").unwrap_or(0)).await;
+        let (events, at) = self.changes(kind, since);
+        json(StatusCode::OK, &value!({ "events": events, "at": at }))
     }
 
     async fn wait(&self, kind: &str, since: u64, wait_ms: u64) {
         let mut revision = self.revision.subscribe();
         let changed = async {
-            while self.listing(kind, since).items.is_empty() {
+            while self.changes(kind, since).0.is_empty() {
                 if revision.changed().await.is_err() {
                     return;
                 }
             }
         };
-        // Without a change the listing is empty.
+        // Without a change there are no events.
         let _waited = timeout(Duration::from_millis(wait_ms), changed).await;
     }
 
-    fn listing(&self, kind: &str, since: u64) -> Listing {
-        let store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
-        let items = store
-            .objects
-            .iter()
-            .filter(|((k, _), (version, _))| k == kind && *version > since)
-            .map(|((_, name), (version, value))| Object {
-                name: name.as_str().into(),
-                version: *version,
-                value: value.clone(),
-            })
-            .collect();
-        Listing { revision: store.revision, items }
+    fn page(&self, kind: &str) -> Value {
+        let store = self.store();
+        let items: Vec<&StoredObject> =
+            store.objects.iter().filter(|((k, _), _)| k == kind).map(|(_, o)| o).collect();
+        value!({ "items": items, "has_more": false, "at": store.revision })
+    }
+
+    fn changes(&self, kind: &str, since: u64) -> (Vec<Value>, u64) {
+        let store = self.store();
+        let newer = |e: &&Event| e.kind == kind && e.object.metadata.revision > since;
+        let events = store.history.iter().filter(newer);
+        let events = events.map(|e| value!({ "object": e.object, "deleted": e.deleted }));
+        (events.collect(), store.revision)
     }
 
-    async fn put(
+    async fn write(
         &self,
-        kind: String,
-        name: String,
-        query: &str,
+        kind: &str,
+        name: &str,
+        write: Write,
         req: Request<Incoming>,
     ) -> Response<Body> {
         self.writes.fetch_add(1, Ordering::Relaxed);
         let Ok(body) = req.into_body().collect().await else {
             return text(StatusCode::BAD_REQUEST, "");
         };
-        let Ok(value) = serde_json::from_slice(&body.to_bytes()) else {
-            return text(StatusCode::BAD_REQUEST, "");
+        let body = body.to_bytes();
+        let sent = match (write, serde_json::from_slice::<StoredObject>(&body)) {
+            (Write::Delete { .. }, _) => StoredObject::default(),
+            (_, Ok(sent)) => sent,
+            (_, Err(_)) => return text(StatusCode::BAD_REQUEST, ""),
+        };
+        let name =
+            if write == Write::Create { sent.metadata.name.to_string() } else { name.to_owned() };
+        let write = match write {
+            Write::Replace { .. } => Write::Replace {
+                expected: Some(sent.metadata.revision).filter(|revision| *revision > 0),
+            },
+            other => other,
         };
-        let expected = parameter(query, "version").unwrap_or(0);
-        let (code, version) = self.write(kind, name, expected, value);
+        let (code, object) = self.apply(kind, &name, write, sent.spec);
         let one_fewer = |left: u64| left.checked_sub(1);
         let lost = self
             .faults
@@ -201,21 +240,46 @@
         if lost {
             return text(StatusCode::GATEWAY_TIMEOUT, "");
         }
-        json(code, &PutAnswer { version })
+        json(code, &object)
     }
 
-    fn write(&self, kind: String, name: String, expected: u64, value: Value) -> (StatusCode, u64) {
-        let mut store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
-        let present = store.objects.get(&(kind.clone(), name.clone())).map_or(0, |o| o.0);
-        if present != expected {
-            return (StatusCode::CONFLICT, present);
+    fn apply(
+        &self,
+        kind: &str,
+        name: &str,
+        write: Write,
+        spec: Value,
+    ) -> (StatusCode, StoredObject) {
+        let mut store = self.store();
+        let key = (kind.to_owned(), name.to_owned());
+        let present = store.objects.get(&key).cloned();
+        let revision = present.as_ref().map(|o| o.metadata.revision);
+        let refused = match (write, revision) {
+            (Write::Create, Some(_)) => Some(StatusCode::CONFLICT),
+            (Write::Replace { .. } | Write::Delete { .. }, None) => Some(StatusCode::NOT_FOUND),
+            (Write::Replace { expected } | Write::Delete { expected }, present) => {
+                expected.filter(|e| Some(*e) != present).map(|_| StatusCode::CONFLICT)
+            }
+            (Write::Create, None) => None,
+        };
+        if let Some(code) = refused {
+            return (code, present.unwrap_or_default());
         }
         store.revision += 1;
-        let version = store.revision;
-        store.objects.insert((kind, name), (version, value));
+        let metadata = StoredMetadata { name: name.into(), revision: store.revision };
+        let deleted = matches!(write, Write::Delete { .. });
+        let object = StoredObject { metadata, spec };
+        if deleted {
+            store.objects.remove(&key);
+        } else {
+            store.objects.insert(key, object.clone());
+        }
+        let event = Event { kind: kind.to_owned(), object: object.clone(), deleted };
+        store.history.push(event);
+        let revision = store.revision;
         drop(store);
-        self.revision.send_replace(version);
-        (StatusCode::OK, version)
+        self.revision.send_replace(revision);
+        (StatusCode::OK, object)
     }
 }
 
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -74,6 +74,7 @@
     direct: u32,
     queued: u32,
     may_have_run: bool,
+    spent: u32,
     hedge_at: Option<Tick>,
     finished: bool,
 }
@@ -89,6 +90,7 @@
             direct: 0,
             queued: 0,
             may_have_run: false,
+            spent: 0,
             hedge_at: None,
             finished: false,
         }
@@ -208,6 +210,7 @@
             return Vec::new();
         };
         self.may_have_run = true;
+        self.spent += 1;
         self.excluded.push(flight.candidate.member.node);
         match self.flights.is_empty() {
             false => Vec::new(),
@@ -273,6 +276,7 @@
         let idempotent = self.spec.kind == WorkKind::Idempotent;
         if failed && idempotent {
             self.may_have_run = true;
+            self.spent += 1;
             self.excluded.push(flight.candidate.member.node);
             match self.flights.is_empty() {
                 false => return Vec::new(),
@@ -294,7 +298,13 @@
     }
 
     fn may_retry(&self, cx: CallContext<'_>) -> bool {
-        self.spec.replayable && !self.spec.is_retry && cx.table.state.retries.try_withdraw()
+        let allowed = self.spec.replayable && !self.spec.is_retry && self.has_attempts_left();
+        allowed && cx.table.state.retries.try_withdraw()
+    }
+
+    /// Whether one more upstream may run the request.
+    fn has_attempts_left(&self) -> bool {
+        self.spent + (self.flights.len() as u32) < self.spec.max_attempts
     }
 
     fn timer<R: Rng>(&mut self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> Vec<CallAction> {
@@ -335,7 +345,11 @@
         let pick = pick(cx.table, req, rng)?;
         let retries = &cx.table.state.retries;
         let is_idle = pick.estimate.utilisation < QUEUE_UTILISATION;
-        if !is_idle || retries.available() <= HEDGE_RESERVE || !retries.try_withdraw() {
+        if !is_idle
+            || !self.has_attempts_left()
+            || retries.available() <= HEDGE_RESERVE
+            || !retries.try_withdraw()
+        {
             return None;
         }
         Some(self.send(now, cx, pick.candidate, false, AttemptCause::Hedge))
--- a/pistachiolane/src/attempt/call_action.rs
+++ b/pistachiolane/src/attempt/call_action.rs
@@ -18,6 +18,17 @@
     }
 }
 
+impl AttemptCause {
+    /// Short name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Retry => "retry",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
 /// What the driver of a call must do.
 #[derive(Clone, Debug)]
 pub enum CallAction {
--- a/pistachiolane/src/attempt/call_spec.rs
+++ b/pistachiolane/src/attempt/call_spec.rs
@@ -18,5 +18,9 @@
         pub hedge: bool,
         /// Whether the request's body can be sent again; if not, there is one attempt.
         pub replayable: bool,
+        /// Upstreams that may run the request, the first included.
+        pub max_attempts: u32,
+        /// Rank under overload; 0 is served first.
+        pub priority: u8,
     }
 }
--- /dev/null
+++ b/pistachiolane/src/cli/adapter.rs
@@ -0,0 +1,22 @@
+//! What the program is given by an adapter to where it runs.
+
+use {
+    crate::{node::Integration, settings::ProcessSettings},
+    std::fmt,
+};
+
+type Derive = Box<dyn Fn(&dyn Fn(&str) -> Option<String>) -> Vec<(&'static str, String)>>;
+
+/// Adapter to where the program runs.
+pub struct Adapter {
+    /// Derives settings, by flag name, from the variables of the environment and the settings file.
+    pub settings: Derive,
+    /// Chooses what a node is given.
+    pub integration: Box<dyn Fn(&ProcessSettings) -> Integration>,
+}
+
+impl fmt::Debug for Adapter {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Adapter").finish_non_exhaustive()
+    }
+}
--- a/pistachiolane/src/cli/args.rs
+++ b/pistachiolane/src/cli/args.rs
@@ -18,6 +18,7 @@
 
 /// Commands of the program.
 #[derive(Debug, Options)]
+#[allow(clippy::large_enum_variant, reason = "one value for the life of the process")]
 pub enum Command {
     /// Run a node.
     #[options(help = "run the node beside an upstream")]
@@ -90,6 +91,46 @@
     /// Key of the fleet.
     #[options(no_short, meta = "SECRET,…", help = "secrets that nodes share; the first signs")]
     pub fleet_key: Option<String>,
+    /// Settings file.
+    #[options(no_short, meta = "FILE", help = "lines NAME=value, named as the environment")]
+    pub config: Option<String>,
+    /// Interface.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "own, or platform: headers, routes, announcements (own)"
+    )]
+    pub interface: Option<String>,
+    /// Address for readiness.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "readiness, where the interface has an address for it"
+    )]
+    pub ready_listen: Option<String>,
+    /// Address for announcements.
+    #[options(
+        no_short,
+        meta = "IP:PORT",
+        help = "announcements, where the interface has an address for it"
+    )]
+    pub announce_listen: Option<String>,
+    /// Service of the host.
+    #[options(no_short, meta = "NAME", help = "service of the host (as its upstream announces)")]
+    pub service: Option<String>,
+    /// Heartbeat of the upstream.
+    #[options(no_short, meta = "SECONDS", help = "usual time between two announcements (0.75)")]
+    pub heartbeat: Option<String>,
+    /// Share of retries.
+    #[options(no_short, meta = "PERCENT", help = "retries and hedges on routes (10)")]
+    pub retry_percent: Option<String>,
+    /// Reserve of retries.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "retries the fleet keeps in reserve for a service (50)"
+    )]
+    pub retry_reserve: Option<String>,
     /// Log level.
     #[options(no_short, meta = "LEVEL", help = "error, warn, info, debug or trace (info)")]
     pub log_level: Option<String>,
@@ -113,6 +154,14 @@
             "zone" => &self.zone,
             "seeds" => &self.seeds,
             "fleet-key" => &self.fleet_key,
+            "config" => &self.config,
+            "interface" => &self.interface,
+            "ready-listen" => &self.ready_listen,
+            "announce-listen" => &self.announce_listen,
+            "service" => &self.service,
+            "heartbeat" => &self.heartbeat,
+            "retry-percent" => &self.retry_percent,
+            "retry-reserve" => &self.retry_reserve,
             "log-level" => &self.log_level,
             "stop-timeout" => &self.stop_timeout,
             _ => &None,
--- a/pistachiolane/src/cli/mod.rs
+++ b/pistachiolane/src/cli/mod.rs
@@ -1,12 +1,14 @@
 //! The command line: arguments, the node's process, and the operators' commands.
 
+mod adapter;
 mod admin_client;
 mod args;
 mod commands;
 mod exit;
 mod logging;
+mod node_options;
 mod node_process;
 mod output;
 mod run;
 
-pub use {exit::Exit, run::run};
+pub use {adapter::Adapter, exit::Exit, run::run};
--- a/pistachiolane/src/cli/node_process.rs
+++ b/pistachiolane/src/cli/node_process.rs
@@ -1,28 +1,22 @@
 //! The process of a node, from its settings to the end of its graceful stop.
 
 use {
-    super::{Exit, args::NodeArgs, logging},
-    crate::{
-        node,
-        settings::{ProcessSettings, SettingsSource},
-    },
-    log::LevelFilter,
+    super::{Adapter, Exit, args::NodeArgs, logging, node_options},
+    crate::node::{self, RunningNode},
     std::time::Duration,
-    tokio::signal::unix::{SignalKind, signal},
+    tokio::{
+        runtime::{Builder, Runtime},
+        signal::unix::{Signal, SignalKind, signal},
+        time::{MissedTickBehavior, interval},
+    },
 };
 
-/// Longest graceful stop, in seconds, when none is set.
-const DEFAULT_STOP_TIMEOUT_SECONDS: u64 = 600;
-
-struct ProcessOptions {
-    settings: ProcessSettings,
-    level: LevelFilter,
-    stop_timeout: Duration,
-}
+/// Time between two looks at the settings file, which may change without a signal.
+const FILE_CHECK_PERIOD: Duration = Duration::from_secs(2);
 
 /// Runs a node until SIGTERM or SIGINT, then stops it gracefully.
-pub fn run(args: &NodeArgs) -> Exit {
-    let options = match read(args) {
+pub fn run(args: &NodeArgs, adapter: &Adapter) -> Exit {
+    let options = match node_options::read(args, adapter) {
         Ok(options) => options,
         Err(faults) => {
             for fault in faults {
@@ -35,8 +29,14 @@
         eprintln!("{e}");
         return Exit::Failed;
     }
-    match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
-        Ok(runtime) => runtime.block_on(serve(options)),
+    match runtime() {
+        Ok(runtime) => {
+            let exit = runtime.block_on(serve(args, adapter, options));
+            // Tasks that serve others for the life of the process end with it.
+            runtime.shutdown_background();
+            logging::flush();
+            exit
+        }
         Err(e) => {
             eprintln!("cannot start threads: {e}");
             Exit::Failed
@@ -44,43 +44,29 @@
     }
 }
 
-fn read(args: &NodeArgs) -> Result<ProcessOptions, Vec<String>> {
-    let env = |name: &str| std::env::var(name).ok();
-    let text = |name: &str, variable: &str| args.flag(name).or_else(|| env(variable));
-    let mut faults = Vec::new();
-    let level = text("log-level", "PISTACHIOLANE_LOG_LEVEL")
-        .map_or(Some(LevelFilter::Info), |l| l.parse().ok());
-    if level.is_none() {
-        faults.push("--log-level: expected error, warn, info, debug or trace".to_owned());
-    }
-    let seconds = text("stop-timeout", "PISTACHIOLANE_STOP_TIMEOUT")
-        .map_or(Some(DEFAULT_STOP_TIMEOUT_SECONDS), |t| t.parse().ok());
-    if seconds.is_none() {
-        faults.push("--stop-timeout: expected whole seconds".to_owned());
-    }
-    let settings = ProcessSettings::new(&SettingsSource { flag: &|n| args.flag(n), env: &env });
-    match (settings, level, seconds) {
-        (Ok(settings), Some(level), Some(seconds)) => {
-            let stop_timeout = Duration::from_secs(seconds);
-            Ok(ProcessOptions { settings, level, stop_timeout })
-        }
-        (settings, ..) => {
-            faults.extend(settings.err().into_iter().flat_map(|e| e.faults));
-            Err(faults)
-        }
+/// A thread for each core; on a host that shows only one, the main thread does it all.
+fn runtime() -> std::io::Result<Runtime> {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    match cores {
+        1 => Builder::new_current_thread().enable_all().build(),
+        _ => Builder::new_multi_thread().worker_threads(cores).enable_all().build(),
     }
 }
 
-async fn serve(options: ProcessOptions) -> Exit {
-    let (Ok(mut term), Ok(mut interrupt)) =
-        (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
-    else {
+async fn serve(args: &NodeArgs, adapter: &Adapter, options: node_options::NodeOptions) -> Exit {
+    let (Ok(mut term), Ok(mut interrupt), Ok(hangup)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+        signal(SignalKind::hangup()),
+    ) else {
         eprintln!("cannot wait for signals");
         return Exit::Failed;
     };
-    let node = match node::run(options.settings).await {
+    let integration = (adapter.integration)(&options.settings);
+    let node = match node::run(options.settings, integration).await {
         Ok(node) => node,
         Err(e) => {
+            log::error!(target: "node", "{e}");
             eprintln!("{e}");
             return Exit::Failed;
         }
@@ -88,6 +74,39 @@
     tokio::select! {
         _signal = term.recv() => {}
         _signal = interrupt.recv() => {}
+        () = reload(args, adapter, &node, hangup) => {}
+    }
+    let limit = node.shared().tunables.load().stop_timeout;
+    if node.stop(limit).await { Exit::Done } else { Exit::Failed }
+}
+
+/// Takes the settings anew on SIGHUP and when the file changes, for as long as the node runs.
+async fn reload(args: &NodeArgs, adapter: &Adapter, node: &RunningNode, mut hangup: Signal) {
+    let read_file = || {
+        // A file that cannot be read is reported when it is parsed.
+        node_options::file_path(args).and_then(|path| std::fs::read(path).ok())
+    };
+    let mut timer = interval(FILE_CHECK_PERIOD);
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut seen = read_file();
+    loop {
+        let cause = tokio::select! {
+            _signal = hangup.recv() => "signal",
+            _tick = timer.tick() => "file changed",
+        };
+        let file = read_file();
+        if cause == "file changed" && file == seen {
+            continue;
+        }
+        seen = file;
+        match node_options::read(args, adapter) {
+            Ok(options) => node.reload(cause, &options.settings),
+            Err(faults) => {
+                log::error!(
+                    target: "node", cause, faults = faults.join("; ").as_str();
+                    "settings not reloaded; those in force stay"
+                );
+            }
+        }
     }
-    if node.stop(options.stop_timeout).await { Exit::Done } else { Exit::Failed }
 }
--- a/pistachiolane/src/cli/run.rs
+++ b/pistachiolane/src/cli/run.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Exit,
+        Adapter, Exit,
         args::{Args, Command},
         commands, node_process,
     },
@@ -11,11 +11,11 @@
 };
 
 /// Runs the program with its arguments.
-pub fn run(args: &[String]) -> ExitCode {
-    execute(args).into()
+pub fn run(args: &[String], adapter: &Adapter) -> ExitCode {
+    execute(args, adapter).into()
 }
 
-fn execute(args: &[String]) -> Exit {
+fn execute(args: &[String], adapter: &Adapter) -> Exit {
     let parsed = match Args::parse_args_default(args) {
         Ok(parsed) => parsed,
         Err(e) => {
@@ -36,7 +36,7 @@
             print_help(&parsed);
             Exit::Usage
         }
-        Some(Command::Node(args)) => node_process::run(&args),
+        Some(Command::Node(args)) => node_process::run(&args, adapter),
         Some(command) => run_command(command),
     }
 }
--- a/pistachiolane/src/config/checks.rs
+++ b/pistachiolane/src/config/checks.rs
@@ -1,10 +1,15 @@
 //! Checks of a subtree's document before it is written.
 
 use {
-    super::{Fault, ROOT},
-    crate::schema::{RootDocument, Rule, ServiceSettings, TeamDocument},
+    super::{Fault, ROOT, ROUTES},
+    crate::schema::{
+        RootDocument, RouteSettings, RoutesDocument, Rule, ServiceSettings, TeamDocument,
+    },
     serde::de::DeserializeOwned,
-    std::{collections::BTreeMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+    },
 };
 
 /// Longest name of a team, service or region in bytes.
@@ -27,10 +32,10 @@
         let reason = format!("{} bytes, at most {MAX_DOCUMENT_BYTES} are allowed", text.len());
         return Err(vec![Fault::new(name, reason)]);
     }
-    let faults = if name == ROOT {
-        check_root(&parse(name, text)?)
-    } else {
-        check_team(name, &parse(name, text)?, root)
+    let faults = match name {
+        ROOT => check_root(&parse(name, text)?),
+        ROUTES => check_routes(&parse(name, text)?),
+        _ => check_team(name, &parse(name, text)?, root),
     };
     if faults.is_empty() { Ok(()) } else { Err(faults) }
 }
@@ -52,7 +57,7 @@
     let mut owners: BTreeMap<&Arc<str>, &String> = BTreeMap::new();
     for (team, entry) in &root.teams {
         check_name(&format!("{ROOT}/teams/{team}"), team, &mut faults);
-        if team == ROOT {
+        if team == ROOT || team == ROUTES {
             faults.push(Fault::new(format!("{ROOT}/teams/{team}"), "the name is taken"));
         }
         for service in &entry.services {
@@ -73,6 +78,35 @@
     faults
 }
 
+fn check_routes(document: &RoutesDocument) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut seen = BTreeSet::new();
+    for (at, route) in document.routes.iter().enumerate() {
+        let path = format!("{ROUTES}/routes/{at}");
+        check_route(&path, route, &mut faults);
+        if !seen.insert((route.host.to_ascii_lowercase(), &route.prefix)) {
+            faults.push(Fault::new(&path, "another route has this host and prefix"));
+        }
+    }
+    faults
+}
+
+fn check_route(path: &str, route: &RouteSettings, faults: &mut Vec<Fault>) {
+    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+        faults.push(Fault::new(format!("{path}/prefix"), "begins and ends with `/`"));
+    }
+    if route.host.is_empty() || route.host.contains([':', '/']) {
+        faults.push(Fault::new(format!("{path}/host"), "a host name without a port"));
+    }
+    if route.targets.iter().all(|t| t.weight == 0) {
+        faults.push(Fault::new(format!("{path}/targets"), "no target has a weight above 0"));
+    }
+    if route.max_attempts == 0 {
+        faults.push(Fault::new(format!("{path}/max_attempts"), "at least 1"));
+    }
+    check_timeout(&format!("{path}/timeout_ms"), route.timeout_ms, faults);
+}
+
 fn check_team(name: &str, team: &TeamDocument, root: &RootDocument) -> Vec<Fault> {
     let mut faults = Vec::new();
     let Some(entry) = root.teams.get(name) else {
--- a/pistachiolane/src/config/tree.rs
+++ b/pistachiolane/src/config/tree.rs
@@ -1,9 +1,10 @@
 //! The settings in force, ready for the path of a request.
 
 use {
-    super::{ROOT, checks::parse},
+    super::{ROOT, ROUTES, RouteTable, checks::parse},
     crate::schema::{
-        RegionSettings, RootDocument, Rule, ServiceSettings, Subtree, TeamDocument, WorkKind,
+        RegionSettings, RootDocument, RoutesDocument, Rule, ServiceSettings, Subtree, TeamDocument,
+        WorkKind,
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -27,6 +28,8 @@
     /// The root subtree.
     pub root: RootDocument,
     services: HashMap<Arc<str>, Arc<ServiceSettings>>,
+    routes: Option<Arc<RouteTable>>,
+    routes_version: u64,
 }
 
 impl SettingsTree {
@@ -37,6 +40,10 @@
             .find(|s| s.name.as_ref() == ROOT)
             .and_then(|s| parse::<RootDocument>(ROOT, &s.document).ok())
             .unwrap_or_default();
+        let routes = subtrees.clone().find(|s| s.name.as_ref() == ROUTES);
+        let routes_version = routes.map_or(0, |s| s.version);
+        let routes = routes.and_then(|s| parse::<RoutesDocument>(ROUTES, &s.document).ok());
+        let routes = routes.map(|d| Arc::new(RouteTable::new(&d)));
         let mut services = HashMap::new();
         for subtree in subtrees {
             let Some(entry) = root.teams.get(subtree.name.as_ref()) else {
@@ -51,7 +58,7 @@
                 }
             }
         }
-        Self { root, services }
+        Self { root, services, routes, routes_version }
     }
 
     /// Settings of a service.
@@ -59,6 +66,16 @@
         self.services.get(name)
     }
 
+    /// Routes by host and path prefix, if the settings have any.
+    pub fn routes(&self) -> Option<&Arc<RouteTable>> {
+        self.routes.as_ref()
+    }
+
+    /// Version of the routes; zero if there are none.
+    pub fn routes_version(&self) -> u64 {
+        self.routes_version
+    }
+
     /// Number of services declared.
     pub fn service_count(&self) -> usize {
         self.services.len()
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -4,7 +4,7 @@
     super::{EngineAction, EngineEvent, RunResult},
     crate::{
         attempt::{Admission, Call, CallContext, CallEvent, CallSpec, Received, Ticket},
-        limits::{Queued, RefusalReason, TokenBucket, WaitQueue},
+        limits::{Line, Queued, RefusalReason, TokenBucket, WaitQueue},
         membership::{Members, MembershipAction, MembershipEvent},
         routing::{ProbeBudget, RoutingTable, ServiceTable, next_probe},
         schema::{AttemptHeader, Health, LoadReport, MemberRecord, Placement},
@@ -187,7 +187,8 @@
             Received::Doubt => vec![EngineAction::Doubt(delivery)],
             Received::Run(ticket) => vec![self.start(now, delivery, ticket)],
             Received::Queue(ticket) => {
-                self.queue.push(Arc::clone(&header.caller), ticket.deadline, delivery);
+                let line = Line { priority: header.priority, caller: Arc::clone(&header.caller) };
+                self.queue.push(line, ticket.deadline, delivery);
                 self.tickets.insert(delivery, ticket);
                 Vec::new()
             }
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -22,6 +22,9 @@
 /// Time during which an upstream that came up or recovered is reported as warming.
 const WARMING_TIME: Duration = Duration::from_secs(3);
 
+/// Time for which an upstream's account of its slowness is believed; neighbours change it several times a second.
+const SLOWNESS_LIFE: Duration = Duration::from_millis(150);
+
 value! {
     /// What happens to an attempt that arrives.
     pub enum Arrival {
@@ -83,6 +86,8 @@
     draining: AtomicBool,
     ready_at: AtomicU64,
     present: AtomicBool,
+    slowness_percent: AtomicU32,
+    slowness_at: AtomicU64,
 }
 
 impl Default for Gate {
@@ -95,6 +100,8 @@
             draining: AtomicBool::new(false),
             ready_at: AtomicU64::new(0),
             present: AtomicBool::new(false),
+            slowness_percent: AtomicU32::new(100),
+            slowness_at: AtomicU64::new(0),
         }
     }
 }
@@ -109,6 +116,11 @@
         self.draining.store(draining, Ordering::SeqCst);
     }
 
+    /// Reports the upstream as warming for a time.
+    pub fn warm_up(&self, now: Tick, time: Duration) {
+        self.ready_at.store((now + time).0, Ordering::Relaxed);
+    }
+
     /// Notes that the upstream stopped announcing itself.
     pub fn withdraw(&self) {
         self.present.store(false, Ordering::SeqCst);
@@ -178,6 +190,18 @@
         }
     }
 
+    /// Takes how long work takes at the upstream at this moment, 100 as usual, by its own account.
+    pub fn observe_slowness(&self, now: Tick, percent: u32) {
+        self.slowness_percent.store(percent.max(1), Ordering::Relaxed);
+        self.slowness_at.store(now.0, Ordering::Relaxed);
+    }
+
+    /// How long work takes at this moment, 100 as usual; an old account says nothing.
+    pub fn slowness_percent(&self, now: Tick) -> u32 {
+        let age = now.since(Tick(self.slowness_at.load(Ordering::Relaxed)));
+        if age > SLOWNESS_LIFE { 100 } else { self.slowness_percent.load(Ordering::Relaxed) }
+    }
+
     /// Whether anything queues.
     pub fn has_queue(&self) -> bool {
         self.queued.load(Ordering::SeqCst) > 0
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -17,5 +17,5 @@
     retry_budget::RetryBudget,
     slots::Slots,
     token_bucket::TokenBucket,
-    wait_queue::{Queued, WaitQueue},
+    wait_queue::{Line, Queued, WaitQueue},
 };
--- a/pistachiolane/src/limits/retry_budget.rs
+++ b/pistachiolane/src/limits/retry_budget.rs
@@ -5,26 +5,40 @@
 /// Budget units of one retry: a request at one percent deposits one unit.
 const UNITS_PER_RETRY: u64 = 100;
 
-/// Units that the budget holds at most.
-const MAX_UNITS: u64 = 50 * UNITS_PER_RETRY;
+/// Retries that the budget holds at most until a reserve is set.
+const DEFAULT_RESERVE: u64 = 50;
+
+/// Retries that a new budget holds.
+const FIRST_RETRIES: u64 = 5;
 
 /// Allows retries as a share of the requests, with a bounded reserve.
 #[derive(Debug)]
 pub struct RetryBudget {
     units: AtomicU64,
+    most: AtomicU64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { units: AtomicU64::new(5 * UNITS_PER_RETRY) }
+        Self {
+            units: AtomicU64::new(FIRST_RETRIES * UNITS_PER_RETRY),
+            most: AtomicU64::new(DEFAULT_RESERVE * UNITS_PER_RETRY),
+        }
     }
 }
 
 impl RetryBudget {
+    /// Bounds what the budget holds, in hundredths of a retry; what is beyond is lost.
+    pub fn set_reserve(&self, hundredths: u64) {
+        self.most.store(hundredths, Ordering::Relaxed);
+        self.units.fetch_min(hundredths, Ordering::Relaxed);
+    }
+
     /// Credits one request at `percent` retries for each hundred requests.
     pub fn deposit(&self, percent: u32) {
         let add = u64::from(percent);
-        let credit = |units: u64| (units < MAX_UNITS).then(|| (units + add).min(MAX_UNITS));
+        let most = self.most.load(Ordering::Relaxed);
+        let credit = |units: u64| (units < most).then(|| (units + add).min(most));
         // A full budget needs no write.
         let _full = self.units.fetch_update(Ordering::Relaxed, Ordering::Relaxed, credit);
     }
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -20,6 +20,15 @@
     Shed(T),
 }
 
+/// A line of waiting attempts. Lines of the most urgent priority are served first, in turn between callers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Line {
+    /// Rank; 0 is served first.
+    pub priority: u8,
+    /// Service of the caller.
+    pub caller: Arc<str>,
+}
+
 #[derive(Debug)]
 struct Waiter<T> {
     item: T,
@@ -31,8 +40,8 @@
 /// One task owns it. Places are counted by the [`Gate`], which bounds them.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
-    lines: BTreeMap<Arc<str>, VecDeque<Waiter<T>>>,
-    turn: Option<Arc<str>>,
+    lines: BTreeMap<Line, VecDeque<Waiter<T>>>,
+    turn: Option<Line>,
 }
 
 impl<T> Default for WaitQueue<T> {
@@ -43,8 +52,8 @@
 
 impl<T> WaitQueue<T> {
     /// Adds an item for which [`Gate::arrive`] took a place.
-    pub fn push(&mut self, caller: Arc<str>, deadline: Tick, item: T) {
-        self.lines.entry(caller).or_default().push_back(Waiter { item, deadline });
+    pub fn push(&mut self, line: Line, deadline: Tick, item: T) {
+        self.lines.entry(line).or_default().push_back(Waiter { item, deadline });
     }
 
     /// Items waiting.
@@ -71,14 +80,14 @@
             return self.remove_newest_of_longest().map(Queued::Shed);
         }
         loop {
-            let caller = self.next_caller()?;
-            let head = self.lines.get(&caller)?.front()?;
+            let line = self.next_line()?;
+            let head = self.lines.get(&line)?.front()?;
             let gone = is_gone(&head.item);
             let expired = head.deadline <= now;
             if !gone && !expired && !gate.try_take_slot() {
                 return None;
             }
-            let item = self.remove_head(&caller)?;
+            let item = self.remove_head(&line)?;
             gate.leave_queue();
             match gone {
                 true => {}
@@ -98,32 +107,36 @@
         items
     }
 
+    /// Takes from the least urgent priority first.
     fn remove_newest_of_longest(&mut self) -> Option<T> {
-        let (caller, _) = self.lines.iter().max_by_key(|(_, line)| line.len())?;
-        let caller = Arc::clone(caller);
-        let line = self.lines.get_mut(&caller)?;
-        let waiter = line.pop_back()?;
-        if line.is_empty() {
-            self.lines.remove(&caller);
+        let longest =
+            self.lines.iter().max_by_key(|(line, waiters)| (line.priority, waiters.len()));
+        let line = longest.map(|(line, _)| line.clone())?;
+        let waiters = self.lines.get_mut(&line)?;
+        let waiter = waiters.pop_back()?;
+        if waiters.is_empty() {
+            self.lines.remove(&line);
         }
         Some(waiter.item)
     }
 
-    fn next_caller(&self) -> Option<Arc<str>> {
-        let after = self.turn.as_ref().and_then(|turn| {
+    fn next_line(&self) -> Option<Line> {
+        let (first, _) = self.lines.iter().next()?;
+        let after = self.turn.as_ref().filter(|t| t.priority == first.priority).and_then(|turn| {
             let later = (std::ops::Bound::Excluded(turn), std::ops::Bound::Unbounded);
-            self.lines.range::<Arc<str>, _>(later).next()
+            self.lines.range::<Line, _>(later).next()
         });
-        after.or_else(|| self.lines.iter().next()).map(|(caller, _)| Arc::clone(caller))
+        let after = after.map(|(line, _)| line).filter(|line| line.priority == first.priority);
+        Some(after.unwrap_or(first).clone())
     }
 
-    fn remove_head(&mut self, caller: &Arc<str>) -> Option<T> {
-        let line = self.lines.get_mut(caller)?;
-        let waiter = line.pop_front()?;
-        if line.is_empty() {
-            self.lines.remove(caller);
+    fn remove_head(&mut self, line: &Line) -> Option<T> {
+        let waiters = self.lines.get_mut(line)?;
+        let waiter = waiters.pop_front()?;
+        if waiters.is_empty() {
+            self.lines.remove(line);
         }
-        self.turn = Some(Arc::clone(caller));
+        self.turn = Some(line.clone());
         Some(waiter.item)
     }
 }
--- a/pistachiolane/src/membership/mod.rs
+++ b/pistachiolane/src/membership/mod.rs
@@ -1,11 +1,13 @@
 //! Who is in the fleet: probing, suspicion and gossip. Nothing agreed rests on it.
 
+mod local_upstream;
 mod members;
 mod merge;
 mod timing;
 mod updates;
 
 pub use {
+    local_upstream::{LocalUpstream, NewsEffect, UpstreamNews},
     members::{Members, MembershipAction, MembershipEvent},
     timing::PROBE_PERIOD,
 };
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -76,8 +76,8 @@
     packets_received: Counter,
     /// Packets, frames and headers from nodes that could not be read or authenticated.
     malformed: Counter,
-    /// Calls of the platform, by result.
-    platform_calls: Cases,
+    /// Calls of the platform's store, by result.
+    store_calls: Cases,
     /// Changes of settings asked for at this node, by outcome.
     changes: Cases,
     /// Living members known.
--- a/pistachiolane/src/node/admin.rs
+++ b/pistachiolane/src/node/admin.rs
@@ -4,6 +4,7 @@
     super::{
         body::Body,
         control_loop::ControlHandle,
+        node_handle::NodeHandle,
         operator::{ChangeReport, ChangeRequest, change, document},
         responses,
         shared::Shared,
@@ -12,6 +13,7 @@
     crate::{
         config::{check_document, get_path},
         invariants,
+        membership::UpstreamNews,
         schema::Announcement,
     },
     http_body_util::{BodyExt, Limited},
@@ -19,7 +21,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     serde_json::{Value, json},
     std::{convert::Infallible, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::mpsc},
+    tokio::net::TcpListener,
 };
 
 /// Largest body of an admin request in bytes.
@@ -36,17 +38,13 @@
 pub struct Admin {
     shared: Arc<Shared>,
     control: ControlHandle,
-    announced: mpsc::Sender<Announcement>,
+    node: NodeHandle,
 }
 
 impl Admin {
-    /// A server that passes announcements on to `announced`.
-    pub fn new(
-        shared: Arc<Shared>,
-        control: ControlHandle,
-        announced: mpsc::Sender<Announcement>,
-    ) -> Self {
-        Self { shared, control, announced }
+    /// A server that passes announcements on to `node`.
+    pub fn new(shared: Arc<Shared>, control: ControlHandle, node: NodeHandle) -> Self {
+        Self { shared, control, node }
     }
 
     /// Accepts connections for the life of its task.
@@ -97,7 +95,7 @@
     }
 
     fn ready(&self) -> Response<Body> {
-        let ready = self.shared.is_ready() && !self.shared.draining();
+        let ready = self.node.is_ready();
         let code = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         responses::text(code, if ready { "ready" } else { "not ready" })
     }
@@ -121,9 +119,10 @@
                 responses::text(StatusCode::UNPROCESSABLE_ENTITY, "slots: expected at least 1")
             }
             Ok(announcement) => {
-                // The receiver lives as long as the node.
-                let _closed = self.announced.send(announcement).await;
-                responses::text(StatusCode::OK, "announced")
+                if self.node.announce(UpstreamNews::Announced(announcement)).await {
+                    return responses::text(StatusCode::OK, "announced");
+                }
+                responses::text(StatusCode::SERVICE_UNAVAILABLE, "the node ends")
             }
             Err(e) => responses::text(StatusCode::UNPROCESSABLE_ENTITY, e.to_string()),
         }
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -102,6 +102,7 @@
     driver: &'a Driver,
     table: &'a ServiceTable,
     req: OutgoingRequest,
+    request_id: &'a str,
     spec: CallSpec,
     caller: Arc<str>,
     call: Call,
@@ -120,13 +121,14 @@
         table: &ServiceTable,
         spec: CallSpec,
         req: OutgoingRequest,
+        request_id: &str,
     ) -> CallEnd {
-        let own = self.shared.upstream.load_full();
-        let caller = own.map_or_else(|| Arc::from(""), |u| Arc::clone(&u.service));
+        let caller = self.shared.own_service();
         let mut run = Run {
             driver: self,
             table,
             req,
+            request_id,
             spec,
             caller,
             call: Call::new(spec),
@@ -169,6 +171,7 @@
     }
 
     fn step(&mut self, event: CallEvent) {
+        self.log_event(&event);
         let shared = &self.driver.shared;
         let cx = CallContext {
             entry: shared.node,
@@ -181,6 +184,7 @@
             match action {
                 CallAction::Send { id, candidate, may_queue, cause } => {
                     self.count_cause(id, cause);
+                    self.log_send(id, &candidate, may_queue, cause);
                     let req = self.parts(&candidate, cause);
                     self.send(id, candidate, may_queue, req);
                 }
@@ -192,6 +196,35 @@
         }
     }
 
+    fn log_send(&self, id: AttemptId, to: &Candidate, may_queue: bool, cause: AttemptCause) {
+        let now = self.driver.shared.now();
+        let report = to.last_report();
+        let age_ms = to.report_age(now).map_or(-1, |age| age.as_millis() as i64);
+        log::info!(
+            target: "entry", request = self.request_id, attempt = id.name().as_str(),
+            service = &*self.table.name, upstream = to.member.gate.to_string().as_str(),
+            cause = cause.name(), may_queue, running = report.running, queued = report.queued,
+            slots = report.slots, report_age_ms = age_ms, outstanding = to.outstanding();
+            "attempt sent"
+        );
+    }
+
+    /// What became of an attempt, unless it was answered.
+    fn log_event(&self, event: &CallEvent) {
+        let (id, what, why) = match event {
+            CallEvent::Refused(id, reason, _) => (id, "attempt refused, not run", reason.name()),
+            CallEvent::Unsent(id) => (id, "attempt not sent", "no connection"),
+            CallEvent::Lost(id) => (id, "attempt lost", "no usable answer"),
+            CallEvent::Settled(id, settlement) => {
+                (id, "attempt settled", settlement.map_or("unreachable", settlement_name))
+            }
+            _ => return,
+        };
+        log::info!(
+            target: "entry", request = self.request_id, attempt = id.name().as_str(), why; "{what}"
+        );
+    }
+
     fn finish(&mut self, outcome: Outcome) -> CallEnd {
         let Outcome::Answer(id) = outcome else {
             return CallEnd::NoAnswer(outcome);
@@ -247,6 +280,7 @@
             budget_us: crate::tick::micros(budget),
             repeatable: self.spec.kind == WorkKind::Idempotent,
             may_queue,
+            priority: self.spec.priority,
             service: Arc::clone(&self.table.name),
             caller: Arc::clone(&self.caller),
         };
--- a/pistachiolane/src/node/body.rs
+++ b/pistachiolane/src/node/body.rs
@@ -28,27 +28,36 @@
     body.map_err(Into::into).boxed_unsync()
 }
 
-/// A body that drops a guard when it ends or is dropped.
-pub struct Guarded<G> {
+/// A body that hands a guard to a closure when it was read to its end, and drops it when it was not.
+pub struct Guarded<G, F> {
     inner: Body,
-    guard: Option<G>,
+    guard: Option<(G, F)>,
 }
 
-impl<G> Guarded<G> {
-    /// Ties a guard to the life of a body.
-    pub fn new(inner: Body, guard: G) -> Self {
-        let guard = (!inner.is_end_stream()).then_some(guard);
-        Self { inner, guard }
+impl<G, F: FnOnce(G)> Guarded<G, F> {
+    /// Ties a guard to the life of a body; `finished` takes it after the last byte.
+    pub fn new(inner: Body, guard: G, finished: F) -> Self {
+        let mut body = Self { inner, guard: Some((guard, finished)) };
+        if body.inner.is_end_stream() {
+            body.finish();
+        }
+        body
+    }
+
+    fn finish(&mut self) {
+        if let Some((guard, finished)) = self.guard.take() {
+            finished(guard);
+        }
     }
 }
 
-impl<G> fmt::Debug for Guarded<G> {
+impl<G, F> fmt::Debug for Guarded<G, F> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Guarded").field("ended", &self.guard.is_none()).finish_non_exhaustive()
     }
 }
 
-impl<G: Unpin> HttpBody for Guarded<G> {
+impl<G: Unpin, F: FnOnce(G) + Unpin> HttpBody for Guarded<G, F> {
     type Data = Bytes;
     type Error = BoxError;
 
@@ -57,13 +66,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
         let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        let ended = match &polled {
-            Poll::Ready(None | Some(Err(_))) => true,
-            Poll::Ready(Some(Ok(_))) => self.inner.is_end_stream(),
-            Poll::Pending => false,
-        };
-        if ended {
-            self.guard = None;
+        match &polled {
+            Poll::Ready(None) => self.finish(),
+            Poll::Ready(Some(Ok(_))) if self.inner.is_end_stream() => self.finish(),
+            Poll::Ready(Some(Err(_))) => self.guard = None,
+            Poll::Ready(Some(Ok(_))) | Poll::Pending => {}
         }
         polled
     }
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -48,7 +48,7 @@
     Packet(SocketAddr, Packet),
     Records(Vec<MemberRecord>),
     Exchange(Vec<SubtreeVersion>, oneshot::Sender<ExchangeReply>),
-    Apply(Vec<Subtree>, oneshot::Sender<()>),
+    Apply(Vec<Subtree>, &'static str, oneshot::Sender<()>),
     Copies(Vec<Arc<str>>, oneshot::Sender<Vec<Subtree>>),
     Version(Arc<str>, oneshot::Sender<u64>),
     Snapshot(oneshot::Sender<ControlSnapshot>),
@@ -108,9 +108,9 @@
         self.ask(|reply| Command::Exchange(versions, reply)).await.unwrap_or(empty)
     }
 
-    /// Puts those subtrees in force that are newer than what is held.
-    pub async fn apply(&self, subtrees: Vec<Subtree>) {
-        self.ask(|reply| Command::Apply(subtrees, reply)).await;
+    /// Puts those subtrees in force that are newer than what is held; `source` is for the log.
+    pub async fn apply(&self, subtrees: Vec<Subtree>, source: &'static str) {
+        self.ask(|reply| Command::Apply(subtrees, source, reply)).await;
     }
 
     /// Those of the named subtrees that are held.
@@ -188,8 +188,8 @@
             Command::Exchange(versions, reply) => {
                 let _gone = reply.send(self.holder.exchange(&versions));
             }
-            Command::Apply(subtrees, reply) => {
-                self.apply(subtrees);
+            Command::Apply(subtrees, source, reply) => {
+                self.apply(subtrees, source);
                 let _gone = reply.send(());
             }
             Command::Copies(names, reply) => {
@@ -249,11 +249,13 @@
         let living: HashSet<u64> = self.members.living().map(|r| r.node).collect();
         self.shared.hops.retain(|node| living.contains(&node));
         self.shared.metrics.members.set(i64::try_from(living.len()).unwrap_or(i64::MAX));
-        let watches = is_watcher(&own, self.members.living());
+        let rank = watch_rank(&own, self.members.living());
+        let watches = rank < WATCHERS_PER_REGION;
         let regions: HashSet<&Arc<str>> = self.members.living().map(|r| &r.region).collect();
         let (members, regions) = (living.len() as u64, regions.len() as u64);
-        self.shared.platform.share_budget(members, regions, watches);
-        self.shared.watches.store(watches, Ordering::Relaxed);
+        self.shared.store.share_budget(members, regions, watches);
+        self.shared.share_retries(members);
+        self.shared.watch_rank.store(rank, Ordering::Relaxed);
     }
 
     fn fetch_members(&self, from: SocketAddr) {
@@ -278,7 +280,7 @@
         });
     }
 
-    fn apply(&mut self, subtrees: Vec<Subtree>) {
+    fn apply(&mut self, subtrees: Vec<Subtree>, source: &'static str) {
         let mut newer = false;
         for subtree in subtrees {
             let held = self.holder.version(&subtree.name);
@@ -286,7 +288,10 @@
             let applied = self.holder.apply(subtree);
             invariant!(self.holder.version(&name) >= held, "settings_version_never_falls");
             if applied == Applied::Newer {
-                log::info!(target: "settings", "in force subtree={name} version={version}");
+                log::info!(
+                    target: "settings", subtree = &*name, version, replaced = held, source;
+                    "settings in force"
+                );
                 newer = true;
             }
         }
@@ -318,7 +323,7 @@
         return;
     };
     let learned = !reply.newer.is_empty();
-    handle.apply(reply.newer).await;
+    handle.apply(reply.newer, "peer").await;
     if learned {
         shared.has_settings.store(true, Ordering::Relaxed);
     }
@@ -330,14 +335,13 @@
     let _lost = control_client::push(key, from, subtrees).await;
 }
 
-/// Whether a node is among those of its region that watch the platform: lowest hashes first.
+/// Living members of a node's region before it in the order in which they watch the store: lowest hashes first.
 ///
-/// A node that is wrong about its peers costs the platform a few calls and nothing else.
-fn is_watcher<'a>(own: &MemberRecord, living: impl Iterator<Item = &'a MemberRecord>) -> bool {
+/// A node that is wrong about its peers costs the store a few calls and nothing else.
+fn watch_rank<'a>(own: &MemberRecord, living: impl Iterator<Item = &'a MemberRecord>) -> u64 {
     let rank = |node: u64| node.wrapping_mul(0x9E37_79B9_7F4A_7C15).rotate_left(31);
-    let before = living
+    living
         .filter(|r| r.region == own.region && r.health == Health::Alive)
         .filter(|r| rank(r.node) < rank(own.node))
-        .count();
-    (before as u64) < WATCHERS_PER_REGION
+        .count() as u64
 }
--- a/pistachiolane/src/node/control_service.rs
+++ b/pistachiolane/src/node/control_service.rs
@@ -110,7 +110,7 @@
     }
 
     async fn push(self, _cx: Context, subtrees: Vec<Subtree>) {
-        self.control.apply(subtrees).await;
+        self.control.apply(subtrees, "peer").await;
     }
 
     async fn holds(self, _cx: Context, subtree: SubtreeVersion) -> bool {
--- /dev/null
+++ b/pistachiolane/src/node/dialect.rs
@@ -0,0 +1,67 @@
+//! Names of the headers that callers and upstreams use, as an adapter gives them.
+
+use hyper::header::HeaderName;
+
+/// Reads the load in a header's text.
+pub type ReadLoad = fn(&str) -> Option<UpstreamLoad>;
+
+/// Headers of callers and upstreams. Headers that are `None` are neither read nor set.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// Identity of a request, passed on as the caller sent it and echoed by the upstream.
+    pub request_id: Option<HeaderName>,
+    /// Time budget in milliseconds, from callers and to upstreams.
+    pub budget_ms: HeaderName,
+    /// To the upstream: the instance that the request is meant for.
+    pub expected_instance: Option<HeaderName>,
+    /// To the upstream: the service beside the node that took the request.
+    pub caller_service: Option<HeaderName>,
+    /// From the upstream: its presence says that the request did not run.
+    pub not_run: Option<HeaderName>,
+    /// From the upstream: present on each answer that is the service's own.
+    pub signature: Option<HeaderName>,
+    /// From the upstream: its load, and how it is read.
+    pub load: Option<(HeaderName, ReadLoad)>,
+    /// From the upstream: which instance it is.
+    pub instance: Option<HeaderName>,
+    /// Whether callers read fractions of a second in `Retry-After`.
+    pub fractional_retry_after: bool,
+}
+
+value! {
+    /// Load of an upstream by its own account.
+    pub struct UpstreamLoad {
+        /// Requests running.
+        pub running: u32,
+        /// Requests waiting for a slot.
+        pub waiting: u32,
+        /// Requests that it runs at once.
+        pub slots: u32,
+        /// How long work takes at this moment, 100 as usual; its neighbours slow it down.
+        pub slowness_percent: Option<u32>,
+    }
+}
+
+impl Dialect {
+    /// The product's own interface.
+    pub fn own() -> Self {
+        Self {
+            request_id: None,
+            budget_ms: super::headers::BUDGET_MS,
+            expected_instance: None,
+            caller_service: None,
+            not_run: None,
+            signature: None,
+            load: None,
+            instance: None,
+            fractional_retry_after: false,
+        }
+    }
+
+    /// Headers that only the system may set on a request, and that callers' own are removed of.
+    pub fn set_by_system(&self) -> impl Iterator<Item = &HeaderName> {
+        let load = self.load.as_ref().map(|(name, _)| name);
+        let names = [&self.expected_instance, &self.caller_service, &self.not_run, &self.signature];
+        names.into_iter().filter_map(Option::as_ref).chain(load)
+    }
+}
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -4,17 +4,19 @@
     super::{
         attempt_driver::{CallEnd, Driver, OutgoingBody, OutgoingRequest},
         body::{Body, stream},
+        caller_socket::{CallerSocket, CallerWatch},
         headers,
         hop::probe_request,
         responses,
         shared::Shared,
+        treatment::Treatment,
     },
     crate::{
-        attempt::{CallSpec, Outcome},
-        config::Limits,
+        attempt::{CallSpec, NotRunReason, Outcome},
         metrics::Metrics,
         routing::{Candidate, ProbeBudget, ServiceTable, next_probe},
-        schema::ServiceSettings,
+        schema::CallerLimits,
+        tick::Tick,
     },
     bytes::Bytes,
     http_body_util::{BodyExt, Limited},
@@ -25,9 +27,11 @@
         service::service_fn,
     },
     hyper_util::{
-        rt::{TokioExecutor, TokioIo, TokioTimer},
+        rt::{TokioExecutor, TokioTimer},
         server::conn::auto,
     },
+    rand::RngExt,
+    socket2::SockRef,
     std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
@@ -44,11 +48,17 @@
 /// Time for that.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Largest head of a request in bytes.
-const MAX_HEAD_BYTES: usize = 32 * 1_024;
+/// Smallest bound on the head of a request in bytes that the HTTP server accepts.
+const MIN_HEAD_BYTES: u32 = 8 << 10;
 
-/// Time for the head of a request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which unacknowledged bytes break a caller's connection.
+const CALLER_SILENCE: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept; descriptors are short, and others will close.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// When a caller may come back to a node that does not know the fleet or its settings yet.
+const NOT_READY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Deepest nesting of calls.
 const MAX_DEPTH: u64 = 16;
@@ -65,12 +75,14 @@
 /// Why a request is turned away before any attempt; it is not run.
 #[derive(Debug, thiserror::Error)]
 enum Rejection {
-    #[error("no service `{0}`")]
+    #[error("no service or route `{0}`")]
     UnknownService(String),
     #[error("the body is larger than {0} bytes")]
     BodyTooLarge(u64),
     #[error("the body ended early")]
     BodyLost,
+    #[error("the body did not come in time")]
+    BodyLate,
     #[error("calls are nested deeper than {MAX_DEPTH}")]
     TooDeep,
     #[error("this node does not know the fleet or its settings yet")]
@@ -78,15 +90,26 @@
 }
 
 impl Rejection {
-    fn response(&self) -> Response<Body> {
-        let (status, reason) = match self {
+    fn status(&self) -> (StatusCode, &'static str) {
+        match self {
             Self::UnknownService(_) => (StatusCode::NOT_FOUND, "unknown-service"),
             Self::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
             Self::BodyLost => (StatusCode::BAD_REQUEST, "body-lost"),
+            Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, "body-late"),
             Self::TooDeep => (StatusCode::LOOP_DETECTED, "too-deep"),
             Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
-        };
-        responses::rejected(status, reason, format!("not run: {self}"))
+        }
+    }
+
+    fn response(&self, fractions: bool) -> Response<Body> {
+        let (status, reason) = self.status();
+        let mut res = responses::rejected(status, reason, format!("not run: {self}"));
+        match self {
+            Self::NotReady => responses::set_retry_after(&mut res, NOT_READY_PAUSE, fractions),
+            Self::BodyLate => responses::set(&mut res, &header::CONNECTION, "close"),
+            _ => {}
+        }
+        res
     }
 }
 
@@ -106,32 +129,39 @@
             };
             match accepted {
                 Ok((socket, _)) => self.spawn_connection(socket),
-                // Out of descriptors, most likely; others will close.
-                Err(_) => tokio::time::sleep(Duration::from_millis(10)).await,
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
     }
 
     fn spawn_connection(&self, socket: TcpStream) {
-        let _no_effect = socket.set_nodelay(true);
+        if let Err(e) = configure(&socket) {
+            log::debug!(target: "entry", "caller left before it was served: {e}");
+            return;
+        }
         let entry = self.clone();
         let shared = Arc::clone(&self.driver.shared);
         self.driver.shared.work.spawn(async move { entry.connection(socket, &shared).await });
     }
 
     async fn connection(self, socket: TcpStream, shared: &Shared) {
+        let (socket, watch) = CallerSocket::new(socket);
         let service = service_fn(move |req: Request<Incoming>| {
-            let entry = self.clone();
-            async move { Ok::<_, Infallible>(entry.request(req).await) }
+            let (entry, watch) = (self.clone(), watch.clone());
+            async move { Ok::<_, Infallible>(entry.request(req, &watch).await) }
         });
+        let limits = caller_limits(shared);
+        let head_bytes = limits.max_header_bytes.max(MIN_HEAD_BYTES);
+        let ms = |ms: u32| Duration::from_millis(u64::from(ms));
         let mut http = auto::Builder::new(TokioExecutor::new());
         http.http1()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES)
+            // Covers an idle connection and the head that ends its idleness.
+            .header_read_timeout(ms(limits.idle_timeout_ms) + ms(limits.header_timeout_ms))
+            .max_buf_size(head_bytes as usize)
             .half_close(false);
-        http.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
-        let served = http.serve_connection(TokioIo::new(socket), service);
+        http.http2().timer(TokioTimer::new()).max_header_list_size(head_bytes);
+        let served = http.serve_connection(socket, service);
         tokio::pin!(served);
         // A caller's broken connection concerns nobody else.
         tokio::select! {
@@ -141,45 +171,98 @@
         let _ended = served.await;
     }
 
-    async fn request(&self, req: Request<Incoming>) -> Response<Body> {
-        let metrics = &self.driver.shared.metrics;
-        match self.call(req).await {
+    async fn request(&self, req: Request<Incoming>, watch: &CallerWatch) -> Response<Body> {
+        let shared = &self.driver.shared;
+        let started = shared.now();
+        let id = request_id(shared, req.headers());
+        let mut res = tokio::select! {
+            res = self.call(req, &id, started) => res,
+            () = watch.left() => {
+                Metrics::count(&shared.metrics.calls, "caller-left");
+                let elapsed_ms = shared.now().since(started).as_millis() as u64;
+                log::info!(target: "entry", request = &*id, elapsed_ms; "caller left, call cancelled");
+                responses::unknown(StatusCode::GATEWAY_TIMEOUT)
+            }
+        };
+        if shared.draining() {
+            responses::set(&mut res, &header::CONNECTION, "close");
+        }
+        res
+    }
+
+    async fn call(&self, req: Request<Incoming>, id: &str, started: Tick) -> Response<Body> {
+        let shared = &self.driver.shared;
+        match self.routed_call(req, id, started).await {
             Ok(res) => res,
             Err(rejection) => {
-                Metrics::count(&metrics.calls, "rejected");
-                rejection.response()
+                Metrics::count(&shared.metrics.calls, "rejected");
+                let (_, reason) = rejection.status();
+                let why = rejection.to_string();
+                log::info!(
+                    target: "entry", request = id, reason, why = why.as_str(),
+                    settings = shared.tree.load().routes_version();
+                    "request rejected, not run"
+                );
+                rejection.response(shared.dialect.fractional_retry_after)
             }
         }
     }
 
-    async fn call(&self, req: Request<Incoming>) -> Result<Response<Body>, Rejection> {
+    async fn routed_call(
+        &self,
+        req: Request<Incoming>,
+        id: &str,
+        started: Tick,
+    ) -> Result<Response<Body>, Rejection> {
         let shared = &self.driver.shared;
-        let name = service_name(&req);
-        let tree = shared.tree.load_full();
-        let Some(settings) = tree.service(&name) else {
-            return Err(self.absent(name));
-        };
-        let limits = Limits::of(settings, req.method().as_str(), req.uri().path());
+        let treatment = Treatment::of(shared, &req).ok_or_else(|| self.absent(&req))?;
         if headers::number(req.headers(), &headers::DEPTH).is_some_and(|d| d >= MAX_DEPTH) {
             return Err(Rejection::TooDeep);
         }
-        let (spec, outgoing) = self.prepare(settings, &limits, req).await?;
-        let Some(table) = shared.table.load().service(&name).map(Arc::clone) else {
+        let (spec, outgoing) = self.prepare(&treatment, req, started).await?;
+        let Some(table) = shared.table.load().service(&treatment.service).map(Arc::clone) else {
             if !shared.is_ready() {
                 return Err(Rejection::NotReady);
             }
-            let reason = crate::attempt::NotRunReason::NoUpstream;
-            Metrics::count(&shared.metrics.calls, "not-run");
-            return Ok(responses::not_run(reason, Duration::from_secs(1)));
+            let (reason, retry_after) = (NotRunReason::NoUpstream, Duration::from_secs(1));
+            return Ok(self.response(CallEnd::NoAnswer(Outcome::NotRun { reason, retry_after })));
         };
         self.watch_load(&table);
-        let end = self.driver.drive(&table, spec, outgoing).await;
+        let end = self.driver.drive(&table, spec, outgoing, id).await;
+        self.log_end(&end, id, &treatment, started, spec);
         Ok(self.response(end))
     }
 
-    fn absent(&self, name: String) -> Rejection {
+    fn log_end(
+        &self,
+        end: &CallEnd,
+        id: &str,
+        treatment: &Treatment,
+        started: Tick,
+        spec: CallSpec,
+    ) {
+        let now = self.driver.shared.now();
+        let (outcome, reason) = match end {
+            CallEnd::Answer(_) => ("answer", ""),
+            CallEnd::NoAnswer(Outcome::NotRun { reason, .. }) => ("not-run", reason.name()),
+            CallEnd::NoAnswer(_) => ("unknown", ""),
+        };
+        let status = match end {
+            CallEnd::Answer(res) => res.status().as_u16(),
+            CallEnd::NoAnswer(_) => 0,
+        };
+        log::info!(
+            target: "entry", request = id, route = &*treatment.route, service = &*treatment.service,
+            settings = treatment.version, outcome, reason, status,
+            elapsed_ms = now.since(started).as_millis() as u64,
+            budget_ms = spec.deadline.since(started).as_millis() as u64;
+            "call ended"
+        );
+    }
+
+    fn absent(&self, req: &Request<Incoming>) -> Rejection {
         if self.driver.shared.is_ready() {
-            Rejection::UnknownService(name)
+            Rejection::UnknownService(format!("{}{}", host_name(req), req.uri().path()))
         } else {
             Rejection::NotReady
         }
@@ -187,24 +270,28 @@
 
     async fn prepare(
         &self,
-        settings: &ServiceSettings,
-        limits: &Limits,
+        treatment: &Treatment,
         req: Request<Incoming>,
+        started: Tick,
     ) -> Result<(CallSpec, OutgoingRequest), Rejection> {
+        let shared = &self.driver.shared;
+        let limits = &treatment.limits;
         let (mut parts, body) = req.into_parts();
         let is_retry = parts.headers.contains_key(headers::RETRIED);
-        let budget = headers::number(&parts.headers, &headers::BUDGET_MS)
+        let budget = headers::number(&parts.headers, &shared.dialect.budget_ms)
             .map_or(limits.timeout, |ms| limits.timeout.min(Duration::from_millis(ms)));
-        clean(&mut parts.headers);
-        let deadline = self.driver.shared.now() + budget;
-        let body = hold(body, limits.max_body_bytes).await?;
+        clean(&mut parts.headers, shared);
+        let deadline = started + budget;
+        let body = hold(body, limits.max_body_bytes, deadline.since(shared.now())).await?;
         let spec = CallSpec {
             kind: limits.kind,
             deadline,
             is_retry,
-            retry_percent: settings.retry_percent,
-            hedge: settings.hedge,
+            retry_percent: treatment.retry_percent,
+            hedge: treatment.hedge,
             replayable: matches!(body, OutgoingBody::Whole(_)),
+            max_attempts: treatment.max_attempts,
+            priority: treatment.priority,
         };
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
         let headers = parts.headers;
@@ -212,7 +299,8 @@
     }
 
     fn response(&self, end: CallEnd) -> Response<Body> {
-        let calls = &self.driver.shared.metrics.calls;
+        let shared = &self.driver.shared;
+        let calls = &shared.metrics.calls;
         match end {
             CallEnd::Answer(mut res) => {
                 Metrics::count(calls, "answer");
@@ -221,7 +309,7 @@
             }
             CallEnd::NoAnswer(Outcome::NotRun { reason, retry_after }) => {
                 Metrics::count(calls, "not-run");
-                responses::not_run(reason, retry_after)
+                responses::not_run(reason, retry_after, shared.dialect.fractional_retry_after)
             }
             CallEnd::NoAnswer(_) => {
                 Metrics::count(calls, "unknown");
@@ -236,7 +324,12 @@
         let now = shared.now();
         for candidate in table.eject_stragglers(now) {
             shared.metrics.ejections.inc();
-            log::info!(target: "routing", "ejected upstream node={:016x}", candidate.member.node);
+            let node = format!("{:016x}", candidate.member.node);
+            let latency_us = candidate.last_report().latency_us;
+            log::info!(
+                target: "routing", service = &*table.name, upstream = node.as_str(), latency_us;
+                "upstream ejected"
+            );
         }
         let budget = ProbeBudget { probes: &shared.probes, paid: &shared.paid };
         if let Some(candidate) = next_probe(table, now, budget) {
@@ -261,18 +354,38 @@
     }
 }
 
-/// The service is the first label of the host that the caller names.
-fn service_name(req: &Request<Incoming>) -> String {
+/// The host that a caller names, without a port and in lower case.
+pub(super) fn host_name(req: &Request<Incoming>) -> String {
     let host = req.uri().host().or_else(|| req.headers().get(header::HOST)?.to_str().ok());
-    let label = host.and_then(|h| h.split(['.', ':']).next()).unwrap_or("");
-    label.to_ascii_lowercase()
+    let name = host.and_then(|h| h.split(':').next()).unwrap_or("");
+    name.to_ascii_lowercase()
+}
+
+/// The identity that the caller gave its request, or one of the node's own for the log.
+fn request_id(shared: &Shared, map: &HeaderMap) -> Arc<str> {
+    let given = shared.dialect.request_id.as_ref().and_then(|name| map.get(name)?.to_str().ok());
+    given.map_or_else(|| Arc::from(format!("{:016x}", rand::rng().random::<u64>())), Arc::from)
+}
+
+fn caller_limits(shared: &Shared) -> CallerLimits {
+    shared.tree.load().routes().map(|r| r.limits.clone()).unwrap_or_default()
+}
+
+fn configure(socket: &TcpStream) -> std::io::Result<()> {
+    socket.set_nodelay(true)?;
+    SockRef::from(socket).set_tcp_user_timeout(Some(CALLER_SILENCE))
 }
 
 /// Removes the system's own headers; those of a nested call keep only what upstreams see.
-fn clean(map: &mut HeaderMap) {
+fn clean(map: &mut HeaderMap, shared: &Shared) {
     let depth = map.get(headers::DEPTH).cloned();
     headers::strip(map);
     headers::strip_hop_by_hop(map);
+    for name in shared.dialect.set_by_system() {
+        map.remove(name);
+    }
+    map.remove(&shared.dialect.budget_ms);
+    map.remove(header::EXPECT);
     if let Some(depth) = depth {
         map.insert(headers::DEPTH, depth);
     }
@@ -286,7 +399,7 @@
 }
 
 /// Holds a small body whole; a large one, or one of unknown size, is streamed once.
-async fn hold(body: Incoming, max_bytes: u64) -> Result<OutgoingBody, Rejection> {
+async fn hold(body: Incoming, max_bytes: u64, limit: Duration) -> Result<OutgoingBody, Rejection> {
     let size = body.size_hint();
     if size.lower() > max_bytes {
         discard(body).await;
@@ -296,10 +409,11 @@
         if size.upper() == Some(0) {
             return Ok(OutgoingBody::Whole(Bytes::new()));
         }
-        let whole = body.collect().await.map_err(|_e| Rejection::BodyLost)?;
+        let whole = timeout(limit, body.collect()).await.map_err(|_e| Rejection::BodyLate)?;
+        let whole = whole.map_err(|_e| Rejection::BodyLost)?;
         return Ok(OutgoingBody::Whole(whole.to_bytes()));
     }
-    let limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let limited = Limited::new(stream(body), limit).boxed_unsync();
+    let most = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let limited = Limited::new(stream(body), most).boxed_unsync();
     Ok(OutgoingBody::Once(Some(limited)))
 }
--- a/pistachiolane/src/node/error.rs
+++ b/pistachiolane/src/node/error.rs
@@ -15,4 +15,7 @@
         /// Cause.
         source: io::Error,
     },
+    /// What an adapter serves beside the node could not be started.
+    #[error("--ready-listen or --announce-listen: cannot listen: {0}")]
+    Services(io::Error),
 }
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -3,27 +3,33 @@
 use {
     super::{
         body::{Body, Guarded, stream},
+        dialect::UpstreamLoad,
         headers,
         queue_task::{QueueItem, QueueVerdict, SlotGuard},
         responses,
         shared::Shared,
+        upstream_pool::{UpstreamConnection, UpstreamError, UpstreamPool},
     },
     crate::{
         attempt::{Received, Ticket},
-        limits::RefusalReason,
+        limits::{Line, RefusalReason},
         metrics::Metrics,
-        schema::{AttemptHeader, FleetKey, WireError},
+        schema::{Announcement, AttemptHeader, FleetKey, WireError},
         tick::Tick,
     },
+    arc_swap::ArcSwapOption,
     http_body_util::BodyExt,
-    hyper::{Request, Response, StatusCode, Uri, body::Incoming, header, service::service_fn},
-    hyper_util::{
-        client::legacy::{Client, connect::HttpConnector},
-        rt::{TokioExecutor, TokioIo, TokioTimer},
+    hyper::{
+        Request, Response, StatusCode, Uri,
+        body::{Body as _, Incoming},
+        header,
+        service::service_fn,
     },
+    hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer},
     papaya::HashMap,
     std::{
         convert::Infallible,
+        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -47,12 +53,6 @@
 /// Streams of one connection between nodes.
 const MAX_STREAMS: u32 = 4_096;
 
-/// Time for a connection to the upstream, which is on the same host.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Time after which unacknowledged bytes break a connection to the upstream.
-const UPSTREAM_SILENCE: Duration = Duration::from_secs(2);
-
 /// Depth of nested calls assumed when the request names none.
 const FIRST_DEPTH: u64 = 0;
 
@@ -60,12 +60,36 @@
 #[derive(Debug)]
 pub struct GateServer {
     shared: Arc<Shared>,
-    upstream: Client<HttpConnector, Body>,
+    upstream: ArcSwapOption<Incarnation>,
     connections: HashMap<(u64, u64), CancellationToken>,
     open: TaskTracker,
     closing: CancellationToken,
 }
 
+/// Connections to one incarnation of the upstream.
+#[derive(Debug)]
+struct Incarnation {
+    instance: String,
+    started_ms: u64,
+    address: SocketAddr,
+    pool: Arc<UpstreamPool>,
+}
+
+/// Gives a connection back to its pool when the answer was read to its end, and closes it otherwise.
+#[derive(Debug)]
+struct ReturnGuard {
+    pool: Arc<UpstreamPool>,
+    connection: Option<UpstreamConnection>,
+}
+
+impl ReturnGuard {
+    fn finish(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.pool.give_back(connection);
+        }
+    }
+}
+
 /// Ends a request at the gate: notes the end in the ledger, then frees its slot.
 #[derive(Debug)]
 struct RunGuard {
@@ -99,15 +123,9 @@
 impl GateServer {
     /// The gate of a node.
     pub fn new(shared: Arc<Shared>) -> Arc<Self> {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_tcp_user_timeout(Some(UPSTREAM_SILENCE));
-        connector.set_keepalive(Some(UPSTREAM_SILENCE));
-        let upstream = Client::builder(TokioExecutor::new()).set_host(false).build(connector);
         Arc::new(Self {
             shared,
-            upstream,
+            upstream: ArcSwapOption::empty(),
             connections: HashMap::new(),
             open: TaskTracker::new(),
             closing: CancellationToken::new(),
@@ -211,7 +229,7 @@
     ) -> Response<Body> {
         let shared = &self.shared;
         let (ticket, slot) = match shared.admission.receive(shared.now(), &attempt) {
-            Received::Refuse(reason) => return self.refuse(reason),
+            Received::Refuse(reason) => return self.refuse(&attempt, reason),
             Received::Doubt => return responses::unknown(StatusCode::CONFLICT),
             Received::Run(ticket) => (ticket, Some(SlotGuard::new(Arc::clone(shared)))),
             Received::Queue(ticket) => (ticket, None),
@@ -220,23 +238,27 @@
         let waiting = WaitGuard { shared: Arc::clone(shared), ticket };
         let slot = match slot {
             Some(slot) => slot,
-            None => match self.wait(&attempt.caller, deadline).await {
+            None => match self.wait(&attempt, deadline).await {
                 Ok(slot) => slot,
-                Err(reason) => return self.refuse(reason),
+                Err(reason) => return self.refuse(&attempt, reason),
             },
         };
         if !waiting.ticket.start() {
-            return self.refuse(RefusalReason::Retired);
+            return self.refuse(&attempt, RefusalReason::Retired);
         }
         let ticket = Some(waiting.ticket.clone());
         let guard = RunGuard { shared: Arc::clone(shared), ticket, _slot: slot };
-        self.run(guard, deadline, req).await
+        self.run(guard, &attempt, deadline, req).await
     }
 
-    async fn wait(&self, caller: &Arc<str>, deadline: Tick) -> Result<SlotGuard, RefusalReason> {
+    async fn wait(
+        &self,
+        attempt: &AttemptHeader,
+        deadline: Tick,
+    ) -> Result<SlotGuard, RefusalReason> {
         let (reply, verdict) = oneshot::channel();
-        let caller = Arc::clone(caller);
-        self.shared.queue.push(QueueItem { caller, deadline, reply });
+        let line = Line { priority: attempt.priority, caller: Arc::clone(&attempt.caller) };
+        self.shared.queue.push(QueueItem { line, deadline, reply });
         match verdict.await {
             Ok(QueueVerdict::Run(slot)) => Ok(slot),
             Ok(QueueVerdict::Refused(reason)) => Err(reason),
@@ -244,88 +266,239 @@
         }
     }
 
-    async fn run(&self, guard: RunGuard, deadline: Tick, mut req: Request<Body>) -> Response<Body> {
+    async fn run(
+        &self,
+        guard: RunGuard,
+        attempt: &AttemptHeader,
+        deadline: Tick,
+        mut req: Request<Body>,
+    ) -> Response<Body> {
         let shared = &self.shared;
         let Some(announced) = shared.upstream.load_full() else {
-            return self.unsent(guard);
+            return self.unsent(guard, attempt, "no upstream");
         };
         let started = shared.now();
         let remaining = deadline.since(started);
-        prepare(&mut req, announced.address, remaining);
+        let id = prepare(&mut req, shared, &announced, attempt, remaining);
         shared.metrics.gate_runs.inc();
-        let answer = timeout(remaining, self.upstream.request(req)).await;
+        let pool = self.pool(&announced);
+        let answer = timeout(remaining, pool.send(req, attempt.repeatable)).await;
         let elapsed = shared.now().since(started);
+        let gate = &shared.admission.gate;
         match answer {
-            Ok(Ok(res)) => {
-                shared.admission.gate.observe(
-                    shared.now(),
-                    elapsed,
-                    !res.status().is_server_error(),
-                );
-                self.pass_on(guard, res)
+            Ok(Ok((res, connection))) => {
+                let mut back = ReturnGuard { pool, connection: Some(connection) };
+                match self.judge(&res, id.as_ref(), &announced) {
+                    Judged::Answer => {
+                        let failed = res.status().is_server_error();
+                        gate.observe(shared.now(), elapsed, !failed);
+                        self.pass_on(guard, back, res)
+                    }
+                    Judged::NotRun(reason) => {
+                        if res.body().is_end_stream() {
+                            back.finish();
+                        }
+                        self.not_run(guard, attempt, reason)
+                    }
+                    Judged::Foreign(why) => {
+                        gate.observe(shared.now(), elapsed, false);
+                        self.lost(attempt, why)
+                    }
+                }
             }
-            Ok(Err(e)) if e.is_connect() => {
-                shared.admission.gate.observe(shared.now(), elapsed, false);
-                self.unsent(guard)
+            Ok(Err(UpstreamError::Unsent(e))) => {
+                // The next announcement brings it back.
+                shared.admission.withdraw();
+                self.unsent(guard, attempt, &e)
             }
-            Ok(Err(_)) => {
-                shared.admission.gate.observe(shared.now(), elapsed, false);
-                self.with_report(responses::unknown(StatusCode::BAD_GATEWAY))
+            Ok(Err(e)) => {
+                gate.observe(shared.now(), elapsed, false);
+                self.lost(attempt, &e.to_string())
             }
             Err(_) => {
-                shared.admission.gate.observe(shared.now(), elapsed, true);
+                gate.observe(shared.now(), elapsed, true);
                 self.with_report(responses::unknown(StatusCode::GATEWAY_TIMEOUT))
             }
         }
     }
 
-    fn pass_on(&self, guard: RunGuard, res: Response<Incoming>) -> Response<Body> {
-        let mut res = res.map(|body| Guarded::new(stream(body), guard).boxed_unsync());
+    /// The pool of the announced incarnation; an earlier one's connections close when their requests end.
+    fn pool(&self, announced: &Announcement) -> Arc<UpstreamPool> {
+        let same = |i: &Arc<Incarnation>| {
+            i.started_ms == announced.started_ms
+                && i.address == announced.address
+                && i.instance == announced.instance
+        };
+        if let Some(known) = self.upstream.load().as_ref().filter(|i| same(i)) {
+            return Arc::clone(&known.pool);
+        }
+        let pool = Arc::new(UpstreamPool::new(announced.address));
+        self.upstream.store(Some(Arc::new(Incarnation {
+            instance: announced.instance.clone(),
+            started_ms: announced.started_ms,
+            address: announced.address,
+            pool: Arc::clone(&pool),
+        })));
+        pool
+    }
+
+    /// Whether an answer is the upstream's to this request, and whether it ran.
+    fn judge(
+        &self,
+        res: &Response<Incoming>,
+        id: Option<&header::HeaderValue>,
+        announced: &Announcement,
+    ) -> Judged {
+        let dialect = &self.shared.dialect;
+        let headers = res.headers();
+        let echoed = dialect.request_id.as_ref().and_then(|name| headers.get(name));
+        if id.is_some() && echoed.is_some() && echoed != id {
+            return Judged::Foreign("an answer to another request");
+        }
+        if dialect.expected_instance.is_some() && res.status() == StatusCode::MISDIRECTED_REQUEST {
+            log::info!(
+                target: "upstream", instance = announced.instance.as_str();
+                "another upstream has the address"
+            );
+            return Judged::NotRun(RefusalReason::NotHere);
+        }
+        if dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name)) {
+            return Judged::NotRun(RefusalReason::Busy);
+        }
+        let signed = |name: &header::HeaderName| headers.contains_key(name);
+        if dialect.signature.as_ref().is_some_and(|name| !signed(name)) {
+            return Judged::Foreign("an answer without the service's signature");
+        }
+        self.observe_load(headers);
+        Judged::Answer
+    }
+
+    fn observe_load(&self, headers: &hyper::HeaderMap) {
+        let load: Option<UpstreamLoad> =
+            self.shared.dialect.load.as_ref().and_then(|(name, read)| {
+                headers.get(name).and_then(|v| v.to_str().ok()).and_then(read)
+            });
+        if let Some(percent) = load.and_then(|l| l.slowness_percent) {
+            self.shared.admission.gate.observe_slowness(self.shared.now(), percent);
+        }
+    }
+
+    fn pass_on(
+        &self,
+        guard: RunGuard,
+        mut back: ReturnGuard,
+        res: Response<Incoming>,
+    ) -> Response<Body> {
+        if let Some(connection) = &mut back.connection {
+            connection.observe(res.headers());
+        }
+        let mut res = res.map(|body| {
+            let finished = |(mut back, guard): (ReturnGuard, RunGuard)| {
+                back.finish();
+                drop(guard);
+            };
+            Guarded::new(stream(body), (back, guard), finished).boxed_unsync()
+        });
         headers::strip(res.headers_mut());
         headers::strip_hop_by_hop(res.headers_mut());
+        if let Some((name, _)) = &self.shared.dialect.load {
+            res.headers_mut().remove(name);
+        }
         self.with_report(res)
     }
 
-    fn with_report(&self, mut res: Response<Body>) -> Response<Body> {
-        responses::attach_report(&mut res, &self.shared.admission.gate.report(self.shared.now()));
-        res
+    fn lost(&self, attempt: &AttemptHeader, why: &str) -> Response<Body> {
+        log::warn!(
+            target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service, why;
+            "outcome at the upstream unknown"
+        );
+        self.with_report(responses::unknown(StatusCode::BAD_GATEWAY))
     }
 
-    /// The upstream could not be connected to: nothing of the request was sent.
-    fn unsent(&self, mut guard: RunGuard) -> Response<Body> {
+    /// The upstream said that it did not run the request.
+    fn not_run(
+        &self,
+        mut guard: RunGuard,
+        attempt: &AttemptHeader,
+        reason: RefusalReason,
+    ) -> Response<Body> {
         if let Some(ticket) = guard.ticket.take() {
             ticket.unsent(self.shared.now());
         }
         drop(guard);
-        self.refuse(RefusalReason::NotHere)
+        self.refuse(attempt, reason)
+    }
+
+    fn with_report(&self, mut res: Response<Body>) -> Response<Body> {
+        responses::attach_report(&mut res, &self.shared.admission.gate.report(self.shared.now()));
+        res
     }
 
-    fn refuse(&self, reason: RefusalReason) -> Response<Body> {
+    /// Nothing of the request was sent to the upstream.
+    fn unsent(&self, guard: RunGuard, attempt: &AttemptHeader, why: &str) -> Response<Body> {
+        log::warn!(
+            target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service, why;
+            "not sent to the upstream"
+        );
+        self.not_run(guard, attempt, RefusalReason::NotHere)
+    }
+
+    fn refuse(&self, attempt: &AttemptHeader, reason: RefusalReason) -> Response<Body> {
         Metrics::count(&self.shared.metrics.gate_refusals, reason.name());
-        responses::refused(reason, &self.shared.admission.gate.report(self.shared.now()))
+        let report = self.shared.admission.gate.report(self.shared.now());
+        log::info!(
+            target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service,
+            reason = reason.name(), running = report.running, queued = report.queued,
+            slots = report.slots, budget_us = attempt.budget_us;
+            "attempt refused, not run"
+        );
+        responses::refused(reason, &report)
     }
 }
 
+/// What an answer of the upstream is worth.
+enum Judged {
+    /// The service's own answer to the request.
+    Answer,
+    /// The upstream says that the request did not run.
+    NotRun(RefusalReason),
+    /// Bytes that belong to no request of this connection; the request may have run.
+    Foreign(&'static str),
+}
+
 fn attempt_header(key: &FleetKey, req: &Request<Incoming>) -> Result<AttemptHeader, WireError> {
     let value = req.headers().get(headers::ATTEMPT).ok_or(WireError::Malformed)?;
     key.decode_header(value.as_bytes())
 }
 
-/// Addresses a request to the upstream and tells it the remaining budget and the depth.
-fn prepare(req: &mut Request<Body>, address: std::net::SocketAddr, remaining: Duration) {
+/// Addresses a request to the upstream and sets what the upstream is told; gives the request's identity.
+fn prepare(
+    req: &mut Request<Body>,
+    shared: &Shared,
+    announced: &Announcement,
+    attempt: &AttemptHeader,
+    remaining: Duration,
+) -> Option<header::HeaderValue> {
+    let dialect = &shared.dialect;
     let depth = headers::number(req.headers(), &headers::DEPTH).unwrap_or(FIRST_DEPTH);
     let retried = req.headers().get(headers::RETRIED).cloned();
     headers::strip(req.headers_mut());
     let path = req.uri().path_and_query().map_or("/", |p| p.as_str()).to_owned();
-    let uri = Uri::builder().scheme("http").authority(address.to_string()).path_and_query(path);
-    if let Ok(uri) = uri.build() {
+    if let Ok(uri) = path.parse::<Uri>() {
         *req.uri_mut() = uri;
     }
     *req.version_mut() = hyper::Version::HTTP_11;
     let map = req.headers_mut();
-    map.insert(headers::BUDGET_MS, header::HeaderValue::from(remaining.as_millis() as u64));
-    map.insert(headers::DEPTH, header::HeaderValue::from(depth + 1));
-    if let Some(retried) = retried {
-        map.insert(headers::RETRIED, retried);
+    if dialect.request_id.is_none() {
+        map.insert(headers::DEPTH, header::HeaderValue::from(depth + 1));
+        if let Some(retried) = retried {
+            map.insert(headers::RETRIED, retried);
+        }
     }
+    map.insert(dialect.budget_ms.clone(), header::HeaderValue::from(remaining.as_millis() as u64));
+    let text = |value: &str| header::HeaderValue::from_str(value).ok();
+    let instance = dialect.expected_instance.clone().zip(text(&announced.instance));
+    let caller = dialect.caller_service.clone().zip(text(&attempt.caller));
+    map.extend(instance.into_iter().chain(caller));
+    dialect.request_id.as_ref().and_then(|name| map.get(name)).cloned()
 }
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -4,26 +4,35 @@
 mod announcements;
 mod attempt_driver;
 mod body;
+mod caller_socket;
 mod control_client;
 mod control_loop;
 mod control_service;
+mod dialect;
 mod entry;
 mod error;
 mod gate_server;
 mod gossip_socket;
 mod headers;
 mod hop;
+mod integration;
+mod node_handle;
 mod operator;
-mod platform_task;
 mod postcard_codec;
 mod queue_task;
 mod responses;
 mod run;
 mod shared;
 mod status;
+mod store_task;
+mod treatment;
+mod upstream_pool;
 
 pub use {
+    dialect::{Dialect, UpstreamLoad},
     error::NodeError,
+    integration::{Feed, Integration},
+    node_handle::NodeHandle,
     run::{RunningNode, run},
     shared::Shared,
 };
--- a/pistachiolane/src/node/operator.rs
+++ b/pistachiolane/src/node/operator.rs
@@ -4,8 +4,8 @@
     super::{
         control_client,
         control_loop::ControlHandle,
-        platform_task::{SETTINGS_KIND, subtree},
         shared::Shared,
+        store_task::{SETTINGS_KIND, subtree},
     },
     crate::{
         config::{
@@ -109,7 +109,7 @@
 }
 
 async fn prepare(shared: &Shared, req: &ChangeRequest) -> Result<(Subtree, u64), ChangeReport> {
-    let read = shared.platform.get(SETTINGS_KIND, &req.subtree).await;
+    let read = shared.store.get(SETTINGS_KIND, &req.subtree).await;
     let present = read.map_err(|_e| ChangeReport::NotWritten)?.as_ref().and_then(subtree);
     let expected = present.as_ref().map_or(0, |s| s.version);
     let current = present.as_ref().map_or(Value::Null, document);
@@ -133,7 +133,7 @@
 
 /// The root subtree as the platform holds it, so that a team declared a moment ago is known.
 async fn root_in_force(shared: &Shared) -> Result<RootDocument, ChangeReport> {
-    let read = shared.platform.get(SETTINGS_KIND, ROOT).await;
+    let read = shared.store.get(SETTINGS_KIND, ROOT).await;
     let root = read.map_err(|_e| ChangeReport::NotWritten)?;
     let document = root.as_ref().and_then(subtree).map(|s| s.document);
     Ok(document.and_then(|d| serde_json::from_str(&d).ok()).unwrap_or_default())
@@ -168,7 +168,7 @@
                 }
                 ChangeAction::Apply(subtree) => {
                     written = subtree.clone();
-                    control.apply(vec![subtree]).await;
+                    control.apply(vec![subtree], "operator").await;
                 }
                 other => pending.push(perform(shared, control, &members, written.clone(), other)),
             }
@@ -200,7 +200,7 @@
                 document: subtree.document.clone(),
             };
             let value = serde_json::to_value(stored).ok()?;
-            let put = shared.platform.put(SETTINGS_KIND, &subtree.name, expected, &value).await;
+            let put = shared.store.put(SETTINGS_KIND, &subtree.name, expected, &value).await;
             Some(ChangeEvent::Written(put))
         }
         ChangeAction::ReadBack => {
@@ -212,7 +212,7 @@
 }
 
 async fn read_back(shared: &Shared, name: &str) -> ReadResult {
-    match shared.platform.get(SETTINGS_KIND, name).await {
+    match shared.store.get(SETTINGS_KIND, name).await {
         Err(_) => ReadResult::Unavailable,
         Ok(object) => {
             object.as_ref().and_then(subtree).map_or(ReadResult::Missing, ReadResult::Found)
@@ -249,7 +249,7 @@
         ChangeOutcome::NotWritten => ChangeReport::NotWritten,
         ChangeOutcome::Unknown => ChangeReport::Unknown { change: wanted.change.clone() },
         ChangeOutcome::Conflict => {
-            let read = shared.platform.get(SETTINGS_KIND, &wanted.name).await;
+            let read = shared.store.get(SETTINGS_KIND, &wanted.name).await;
             let present = read.ok().flatten().as_ref().and_then(subtree);
             ChangeReport::Conflict {
                 version: present.as_ref().map_or(0, |s| s.version),
--- a/pistachiolane/src/node/queue_task.rs
+++ b/pistachiolane/src/node/queue_task.rs
@@ -3,7 +3,7 @@
 use {
     super::shared::Shared,
     crate::{
-        limits::{Queued, RefusalReason, WaitQueue},
+        limits::{Line, Queued, RefusalReason, WaitQueue},
         tick::Tick,
     },
     std::sync::Arc,
@@ -28,8 +28,8 @@
 /// A queued attempt; the gate has taken a place for it.
 #[derive(Debug)]
 pub struct QueueItem {
-    /// Service of the caller, for fairness.
-    pub caller: Arc<str>,
+    /// Line that it waits in.
+    pub line: Line,
     /// Time after which it is not run.
     pub deadline: Tick,
     /// Where the verdict goes; closed when the attempt was cancelled.
@@ -85,7 +85,7 @@
     loop {
         tokio::select! {
             item = items.recv() => match item {
-                Some(item) => queue.push(Arc::clone(&item.caller), item.deadline, item),
+                Some(item) => queue.push(item.line.clone(), item.deadline, item),
                 None => return,
             },
             () = shared.queue.wake.notified() => {}
--- a/pistachiolane/src/node/responses.rs
+++ b/pistachiolane/src/node/responses.rs
@@ -35,13 +35,21 @@
 }
 
 /// Tells a caller that its request was not run and when to come back.
-pub fn not_run(reason: NotRunReason, retry_after: Duration) -> Response<Body> {
+pub fn not_run(reason: NotRunReason, retry_after: Duration, fractions: bool) -> Response<Body> {
     let line = format!("not run: {}", reason.name());
     let mut res = rejected(StatusCode::SERVICE_UNAVAILABLE, reason.name(), line);
-    set(&mut res, &header::RETRY_AFTER, &retry_after.as_secs().max(1).to_string());
+    set_retry_after(&mut res, retry_after, fractions);
     res
 }
 
+/// Tells a caller when to come back: in fractions of a second if it reads them, else rounded up.
+pub fn set_retry_after(res: &mut Response<Body>, retry_after: Duration, fractions: bool) {
+    let seconds = retry_after.as_secs_f64();
+    let after =
+        if fractions { format!("{seconds:.3}") } else { seconds.ceil().max(1.0).to_string() };
+    set(res, &header::RETRY_AFTER, &after);
+}
+
 /// Tells a caller that its request was refused for what it is; it was not run.
 pub fn rejected(status: StatusCode, reason: &str, line: impl Into<String>) -> Response<Body> {
     let mut res = text(status, line);
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -11,13 +11,16 @@
         error::NodeError,
         gate_server::GateServer,
         gossip_socket::GossipSocket,
-        platform_task,
+        integration::Integration,
+        node_handle::NodeHandle,
         queue_task::run_queue,
-        shared::Shared,
+        shared::{Shared, Surroundings},
+        store_task::{own_settings, run_members, run_settings},
     },
     crate::{
         schema::{Health, Placement},
         settings::ProcessSettings,
+        store::Store,
     },
     rand::RngExt,
     std::{
@@ -35,6 +38,9 @@
 /// Time for which a leaving node goes on accepting callers, while the others learn of it.
 const SPREAD_TIME: Duration = Duration::from_millis(700);
 
+/// Announcements that may wait to be taken.
+const MAX_NEWS: usize = 64;
+
 /// Time between two looks at what still runs.
 const STOP_POLL: Duration = Duration::from_millis(10);
 
@@ -56,7 +62,10 @@
 ///
 /// # Errors
 /// Fails when an address cannot be bound.
-pub async fn run(settings: ProcessSettings) -> Result<RunningNode, NodeError> {
+pub async fn run(
+    settings: ProcessSettings,
+    integration: Integration,
+) -> Result<RunningNode, NodeError> {
     let callers = bind("listen", settings.listen).await?;
     let gates = bind("gate-listen", settings.gate_listen).await?;
     let controls = bind("control-listen", settings.control_listen).await?;
@@ -67,14 +76,18 @@
         gossip.map_err(|source| NodeError::Bind { flag: "control-listen", address, source })?;
 
     let node = rand::rng().random_range(1..u64::MAX);
-    let (shared, items) = Shared::new(settings, node);
+    let Integration { store, settings: feed, dialect, services } = integration;
+    let store = Store::new(store);
+    let surroundings = Surroundings { store, dialect, needs_routes: feed.is_some() };
+    let (shared, items) = Shared::new(settings, surroundings, node);
     let socket = GossipSocket::new(Arc::clone(&shared), gossip);
     let (control_loop, control) = ControlLoop::new(Arc::clone(&shared), Arc::clone(&socket));
     let gate = GateServer::new(Arc::clone(&shared));
     let driver = Driver { shared: Arc::clone(&shared), gate: Arc::clone(&gate) };
-    let (announce, announced) = mpsc::channel(16);
+    let (news, told) = mpsc::channel(MAX_NEWS);
+    let handle = NodeHandle { shared: Arc::clone(&shared), news };
     let server = ControlServer::new(Arc::clone(&shared), Arc::clone(&gate), control.clone());
-    let admin = Admin::new(Arc::clone(&shared), control.clone(), announce);
+    let admin = Admin::new(Arc::clone(&shared), control.clone(), handle.clone());
 
     tokio::spawn(run_queue(Arc::clone(&shared), items));
     tokio::spawn(control_loop.run());
@@ -83,11 +96,20 @@
     tokio::spawn(admin.serve(admins));
     tokio::spawn(Arc::clone(&gate).serve(gates));
     tokio::spawn(Entry::new(driver).serve(callers));
-    tokio::spawn(run_announcements(Arc::clone(&shared), control.clone(), announced));
-    tokio::spawn(platform_task::run_settings(Arc::clone(&shared), control.clone()));
-    tokio::spawn(platform_task::run_seeds(Arc::clone(&shared), control.clone()));
+    tokio::spawn(run_announcements(Arc::clone(&shared), control.clone(), told));
+    for feed in feed.into_iter().chain([own_settings()]) {
+        tokio::spawn(run_settings(Arc::clone(&shared), control.clone(), feed));
+    }
+    tokio::spawn(run_members(Arc::clone(&shared), control.clone()));
     tokio::spawn(sweep(Arc::clone(&shared)));
-    log::info!(target: "node", "started node={node:016x}");
+    services(handle).await.map_err(NodeError::Services)?;
+    let at = &shared.settings;
+    log::info!(
+        target: "node", node = format!("{node:016x}").as_str(), version = env!("CARGO_PKG_VERSION"),
+        listen = at.listen.to_string().as_str(), gate = at.gate_listen.to_string().as_str(),
+        zone = &*at.zone, service = &*shared.own_service();
+        "started"
+    );
     Ok(RunningNode { shared, control, gate })
 }
 
@@ -97,11 +119,21 @@
         &self.shared
     }
 
+    /// Puts the settings in force that a running node can change, and names those that need a restart.
+    pub fn reload(&self, cause: &str, settings: &ProcessSettings) {
+        let old = self.shared.tunables.swap(Arc::new(settings.tunables));
+        let fixed = ProcessSettings { tunables: *old, ..settings.clone() };
+        let needs_restart = format!("{fixed:?}") != format!("{:?}", self.shared.settings);
+        let changed = *old != settings.tunables;
+        log::info!(target: "node", cause, changed, needs_restart; "settings reloaded");
+    }
+
     /// Leaves the fleet: refuses new work, finishes what runs, and returns when nothing is left or
     /// `limit` has passed; `true` if nothing was cut.
     pub async fn stop(self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
-        log::info!(target: "node", "leaving running={}", self.shared.admission.gate.running());
+        let running = self.shared.admission.gate.running();
+        log::info!(target: "node", running; "leaving");
         self.shared.leaving.store(true, Ordering::SeqCst);
         self.shared.admission.gate.drain();
         let upstreams = self
@@ -118,7 +150,7 @@
         }
         let whole = self.is_idle();
         self.gate.close(CLOSE_TIMEOUT).await;
-        log::info!(target: "node", "left whole={whole}");
+        log::info!(target: "node", whole; "left");
         whole
     }
 
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        dialect::Dialect,
         hop::Hops,
         queue_task::{QueueHandle, QueueItem},
     },
@@ -10,10 +11,10 @@
         config::SettingsTree,
         limits::TokenBucket,
         metrics::Metrics,
-        platform::PlatformClient,
         routing::RoutingTable,
         schema::{Announcement, MemberRecord},
-        settings::ProcessSettings,
+        settings::{ProcessSettings, Tunables},
+        store::Store,
         tick::{Tick, micros},
     },
     arc_swap::{ArcSwap, ArcSwapOption},
@@ -37,6 +38,23 @@
 /// Rate of probes until the settings name one.
 const DEFAULT_PROBES: u64 = 20;
 
+/// Share of the fleet's reserve that is given out, in percent; the rest covers calls that repeats make.
+const RESERVE_PERCENT: u64 = 75;
+
+/// Smallest reserve of a node in hundredths of a retry: less than one would never allow any.
+const MIN_RESERVE: u64 = 100;
+
+/// What an adapter gives that all tasks share.
+#[derive(Debug)]
+pub struct Surroundings {
+    /// The platform's store.
+    pub store: Store,
+    /// Headers of callers and upstreams.
+    pub dialect: Dialect,
+    /// Whether the node is ready only with routes in force.
+    pub needs_routes: bool,
+}
+
 /// State that the threads of a node use at once.
 #[derive(Debug)]
 pub struct Shared {
@@ -62,16 +80,24 @@
     pub probes: TokenBucket,
     /// Budget of bytes to other regions.
     pub paid: TokenBucket,
-    /// Client of the platform.
-    pub platform: PlatformClient,
+    /// The platform's store.
+    pub store: Store,
+    /// Headers of callers and upstreams.
+    pub dialect: Dialect,
+    /// Settings that change while the node runs.
+    pub tunables: ArcSwap<Tunables>,
+    /// Retries that the node may keep in reserve for a service, in hundredths.
+    pub retry_reserve: AtomicU64,
     /// Counters.
     pub metrics: Metrics,
     /// Whether the node holds the newest settings that anyone could name.
     pub has_settings: AtomicBool,
     /// Whether the node knows the fleet.
     pub has_joined: AtomicBool,
-    /// Whether the node is among those of its region that watch the platform.
-    pub watches: AtomicBool,
+    /// Living members of the region before the node in the order in which they watch the store.
+    pub watch_rank: AtomicU64,
+    /// Whether the node is ready only with routes in force.
+    pub needs_routes: bool,
     /// Set when the gate takes no new work because the node leaves.
     pub leaving: AtomicBool,
     /// Set when the node accepts no more connections of callers.
@@ -85,10 +111,11 @@
     /// State of a node that has not joined yet, and the receiving end of its queue.
     pub fn new(
         settings: ProcessSettings,
+        surroundings: Surroundings,
         node: u64,
     ) -> (Arc<Self>, mpsc::UnboundedReceiver<QueueItem>) {
         let (queue, items) = QueueHandle::new();
-        let platform = PlatformClient::new(Arc::clone(&settings.platform));
+        let tunables = ArcSwap::from_pointee(settings.tunables);
         let shared = Self {
             settings,
             node,
@@ -101,11 +128,15 @@
             attempts: AtomicU64::new(0),
             probes: TokenBucket::new(DEFAULT_PROBES, DEFAULT_PROBES),
             paid: TokenBucket::new(DEFAULT_PAID_BYTES, DEFAULT_PAID_BYTES * PAID_BURST_SECONDS),
-            platform,
+            store: surroundings.store,
+            dialect: surroundings.dialect,
+            tunables,
+            retry_reserve: AtomicU64::new(u64::MAX),
             metrics: Metrics::new(),
             has_settings: AtomicBool::new(false),
             has_joined: AtomicBool::new(false),
-            watches: AtomicBool::new(false),
+            watch_rank: AtomicU64::new(0),
+            needs_routes: surroundings.needs_routes,
             leaving: AtomicBool::new(false),
             stopping: CancellationToken::new(),
             work: TaskTracker::new(),
@@ -121,7 +152,12 @@
 
     /// Whether the node can serve callers: it knows the settings and the fleet.
     pub fn is_ready(&self) -> bool {
-        self.has_settings.load(Ordering::Relaxed) && self.has_joined.load(Ordering::Relaxed)
+        let settings = if self.needs_routes {
+            self.tree.load().routes().is_some()
+        } else {
+            self.has_settings.load(Ordering::Relaxed)
+        };
+        settings && self.has_joined.load(Ordering::Relaxed)
     }
 
     /// Whether the node is leaving.
@@ -148,6 +184,23 @@
         }
     }
 
+    /// The service of the host, which callers on it are taken for.
+    pub fn own_service(&self) -> Arc<str> {
+        let announced = || self.upstream.load().as_ref().map(|u| Arc::clone(&u.service));
+        self.settings.service.clone().or_else(announced).unwrap_or_else(|| Arc::from(""))
+    }
+
+    /// Shares the fleet's reserve of retries out among its members.
+    pub fn share_retries(&self, members: u64) {
+        let reserve = u64::from(self.tunables.load().retry_reserve);
+        let hundredths = reserve * RESERVE_PERCENT / members.max(1);
+        self.retry_reserve.store(hundredths.max(MIN_RESERVE), Ordering::Relaxed);
+        let hundredths = self.retry_reserve.load(Ordering::Relaxed);
+        for service in self.table.load().services() {
+            service.state.retries.set_reserve(hundredths);
+        }
+    }
+
     /// Puts a settings tree in force.
     pub fn put_in_force(&self, tree: SettingsTree) {
         let region = tree.region(&self.settings.region);
--- a/pistachiolane/src/schema/mod.rs
+++ b/pistachiolane/src/schema/mod.rs
@@ -1,5 +1,6 @@
 //! Messages and settings: types generated from `schema/`, and the hot ones written by hand.
 
+mod attempt_name;
 #[allow(clippy::all, clippy::pedantic, missing_docs, reason = "generated code")]
 #[rustfmt::skip]
 mod generated_messages;
@@ -15,8 +16,8 @@
         PacketBody, PingRequest, Placement, SettleRequest, Settlement, Subtree, SubtreeVersion,
     },
     generated_settings::{
-        Announcement, RegionSettings, RootDocument, Rule, ServiceSettings, StoredSubtree,
-        TeamDocument, TeamEntry, WorkKind,
+        Announcement, CallerLimits, RegionSettings, RootDocument, RouteSettings, RouteTarget,
+        RoutesDocument, Rule, ServiceSettings, StoredSubtree, TeamDocument, TeamEntry, WorkKind,
     },
     load_report::{GateState, LoadReport},
     wire::{FleetKey, MAX_PACKET_BYTES, WireError, decode_header, encode_header},
--- a/pistachiolane/src/settings/mod.rs
+++ b/pistachiolane/src/settings/mod.rs
@@ -1,5 +1,11 @@
-//! Settings of the process itself, from flags and the environment.
+//! Settings of the process: flags, environment variables and a file, checked together.
 
+mod file;
 mod process;
+mod tunables;
 
-pub use process::{ProcessSettings, SettingsError, SettingsSource};
+pub use {
+    file::{FileError, SettingsFile},
+    process::{Interface, ProcessSettings, SettingsError, SettingsSource},
+    tunables::Tunables,
+};
--- a/pistachiolane/src/settings/process.rs
+++ b/pistachiolane/src/settings/process.rs
@@ -1,6 +1,7 @@
 //! The settings of a node's process: gathered, defaulted and checked together.
 
 use {
+    super::Tunables,
     crate::schema::FleetKey,
     std::{fmt, net::SocketAddr, str::FromStr, sync::Arc},
 };
@@ -43,6 +44,26 @@
     pub seeds: Vec<SocketAddr>,
     /// Keys that authenticate nodes to each other.
     pub fleet_key: FleetKey,
+    /// How callers, the upstream and the operator's routes reach the node.
+    pub interface: Interface,
+    /// Address at which the node says whether it is ready, where the interface has one of its own.
+    pub ready_listen: Option<SocketAddr>,
+    /// Address at which the upstream announces itself, where the interface has one of its own.
+    pub announce_listen: Option<SocketAddr>,
+    /// Service of the host, which callers on it are taken for; else that of the announced upstream.
+    pub service: Option<Arc<str>>,
+    /// Settings that a running node can change.
+    pub tunables: Tunables,
+}
+
+value! {
+    /// How callers, the upstream and the operator's routes reach a node.
+    pub enum Interface {
+        /// The product's own.
+        Own,
+        /// The users' platform.
+        Platform,
+    }
 }
 
 /// Where settings come from: a flag's value, and the environment's.
@@ -51,6 +72,8 @@
     pub flag: &'a dyn Fn(&str) -> Option<String>,
     /// Value of an environment variable.
     pub env: &'a dyn Fn(&str) -> Option<String>,
+    /// Value that an adapter derives for a flag's name.
+    pub derived: &'a dyn Fn(&str) -> Option<String>,
 }
 
 impl fmt::Debug for SettingsSource<'_> {
@@ -67,7 +90,8 @@
     pub faults: Vec<String>,
 }
 
-struct Reader<'a> {
+/// Reads settings one by one and gathers their faults.
+pub(super) struct Reader<'a> {
     source: &'a SettingsSource<'a>,
     faults: Vec<String>,
 }
@@ -95,6 +119,11 @@
             zone: reader.name("zone", "local-1"),
             seeds: reader.addresses("seeds"),
             fleet_key: FleetKey::new(&reader.text("fleet-key", DEFAULT_SECRET)),
+            interface: reader.interface(),
+            ready_listen: reader.optional_address("ready-listen"),
+            announce_listen: reader.optional_address("announce-listen"),
+            service: reader.optional_name("service"),
+            tunables: Tunables::read(&mut reader),
         };
         settings.check_distinct(&mut reader.faults);
         if reader.faults.is_empty() {
@@ -105,12 +134,14 @@
     }
 
     fn check_distinct(&self, faults: &mut Vec<String>) {
-        let listens = [
+        let mut listens = vec![
             ("listen", self.listen),
             ("gate-listen", self.gate_listen),
             ("control-listen", self.control_listen),
             ("admin-listen", self.admin_listen),
         ];
+        listens.extend(self.ready_listen.map(|a| ("ready-listen", a)));
+        listens.extend(self.announce_listen.map(|a| ("announce-listen", a)));
         let advertised = [
             ("gate-advertise", self.gate_advertise),
             ("control-advertise", self.control_advertise),
@@ -129,10 +160,43 @@
 
 impl Reader<'_> {
     fn text(&self, name: &str, default: &str) -> String {
+        self.find(name).unwrap_or_else(|| default.to_owned())
+    }
+
+    /// A setting that is there and not empty.
+    fn find(&self, name: &str) -> Option<String> {
         let variable = format!("{ENV_PREFIX}{}", name.replace('-', "_").to_uppercase());
-        (self.source.flag)(name)
-            .or_else(|| (self.source.env)(&variable))
-            .unwrap_or_else(|| default.to_owned())
+        let found = (self.source.flag)(name).or_else(|| (self.source.env)(&variable));
+        found.or_else(|| (self.source.derived)(name))
+    }
+
+    /// A setting of any type that can be read from text.
+    pub(super) fn value<T: FromStr>(&mut self, name: &str, default: T, expected: &str) -> T {
+        let Some(text) = self.find(name) else {
+            return default;
+        };
+        self.parse(name, &text, expected).unwrap_or(default)
+    }
+
+    fn optional_address(&mut self, name: &str) -> Option<SocketAddr> {
+        let text = self.find(name).filter(|t| !t.is_empty())?;
+        self.parse(name, &text, "an IP address and port such as 10.0.0.7:8080")
+    }
+
+    fn optional_name(&mut self, name: &str) -> Option<Arc<str>> {
+        self.find(name).filter(|t| !t.is_empty())?;
+        Some(self.name(name, ""))
+    }
+
+    fn interface(&mut self) -> Interface {
+        match self.text("interface", "own").as_str() {
+            "own" => Interface::Own,
+            "platform" => Interface::Platform,
+            other => {
+                self.faults.push(format!("--interface: `{other}` is not own or platform"));
+                Interface::Own
+            }
+        }
     }
 
     fn address(&mut self, name: &str, default: &str) -> SocketAddr {
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -44,6 +44,8 @@
             retry_percent: 10,
             hedge: true,
             replayable: true,
+            max_attempts: 3,
+            priority: 0,
         };
         Self {
             table: ServiceTable::new("sizing".into(), candidates, Arc::default()),
@@ -156,6 +158,8 @@
             retry_percent: 10,
             hedge: true,
             replayable: true,
+            max_attempts: 3,
+            priority: 0,
         };
         bench.call = Call::new(spec);
         bench.start();
@@ -177,6 +181,8 @@
         retry_percent: 100,
         hedge: true,
         replayable: true,
+        max_attempts: 3,
+        priority: 0,
     };
     bench.call = Call::new(spec);
     let first = bench.start();
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -3,7 +3,7 @@
 use {
     pistachiolane::{
         limits::{
-            AdaptiveLimit, Arrival, Gate, Queued, RefusalReason, RetryBudget, TokenBucket,
+            AdaptiveLimit, Arrival, Gate, Line, Queued, RefusalReason, RetryBudget, TokenBucket,
             WATCHERS_PER_REGION, WaitQueue, platform_budget, platform_share,
         },
         schema::GateState,
@@ -64,7 +64,7 @@
                 0 | 1 => match gate.arrive(SECOND, step == 1) {
                     Arrival::Run => running += 1,
                     Arrival::Queue => {
-                        queue.push(Arc::from(caller.to_string()), now + Duration::from_millis(20), ());
+                        queue.push(line(&caller.to_string()), now + Duration::from_millis(20), ());
                     }
                     Arrival::Refuse(_) => prop_assert!(running >= u32::from(slots) || !queue.is_empty()),
                 },
@@ -122,11 +122,15 @@
     assert_ne!(gate.report(late + SECOND * 3).state, GateState::Shedding);
 }
 
+fn line(caller: &str) -> Line {
+    Line { priority: 0, caller: Arc::from(caller) }
+}
+
 fn queue_of(gate: &Gate, items: &[(&str, u32)]) -> WaitQueue<u32> {
     let mut queue = WaitQueue::default();
     for &(caller, item) in items {
         assert_eq!(gate.arrive(SECOND, true), Arrival::Queue);
-        queue.push(Arc::from(caller), Tick(9_000_000), item);
+        queue.push(line(caller), Tick(9_000_000), item);
     }
     queue
 }
@@ -164,7 +168,7 @@
     let mut queue = WaitQueue::default();
     for (item, deadline) in [(1, Tick(10)), (2, Tick(99))] {
         assert_eq!(gate.arrive(SECOND, true), Arrival::Queue);
-        queue.push(Arc::from(""), deadline, item);
+        queue.push(line(""), deadline, item);
     }
     assert_eq!(queue.next(Tick(20), &gate, |&i| i == 2), Some(Queued::Expired(1)));
     assert_eq!(queue.next(Tick(20), &gate, |&i| i == 2), None);
--- a/pistachiolane/tests/process_settings.rs
+++ b/pistachiolane/tests/process_settings.rs
@@ -6,7 +6,8 @@
     let find = |pairs: &[(&str, &str)], name: &str| {
         pairs.iter().find(|(n, _)| *n == name).map(|(_, v)| (*v).to_owned())
     };
-    let source = SettingsSource { flag: &|n| find(flags, n), env: &|n| find(env, n) };
+    let source =
+        SettingsSource { flag: &|n| find(flags, n), env: &|n| find(env, n), derived: &|_| None };
     ProcessSettings::new(&source).map_err(|e| e.faults)
 }
 
