Work on pipelined requests begins at once; small answers are held until whole

Change: the caller's socket is cut into requests; heads seen behind the one in service start their calls if their work may repeat, and a call waits for its turn to be delivered. Answers up to 64 KiB are handed on when whole.

--- a/pistachiolane/src/node/caller_socket.rs
+++ b/pistachiolane/src/node/caller_socket.rs
@@ -1,12 +1,18 @@
-//! A caller's connection that notices the caller's departure while its request is served.
+//! A caller's connection, cut into requests as they come in.
 //!
-//! The HTTP server does not read while it works on a request and holds bytes of a later, pipelined one. What
-//! comes meanwhile is read ahead here, up to a bound, so that the end of the stream is seen behind it.
+//! The HTTP server serves one request after the other, and does not read while bytes of a later one wait. Here
+//! the heads of requests that were pipelined behind the one in service are seen at once, so that work on them
+//! can begin, and so is the end of the stream behind them.
 
 use {
     bytes::{Buf, BytesMut},
-    hyper::rt::{Read, ReadBufCursor, Write},
+    hyper::{
+        Request, Version,
+        header::{self, HeaderName, HeaderValue},
+        rt::{Read, ReadBufCursor, Write},
+    },
     std::{
+        collections::VecDeque,
         future::poll_fn,
         io,
         pin::Pin,
@@ -19,15 +25,29 @@
     },
 };
 
-/// Bytes that are read ahead of the HTTP server: several requests without a body.
-const MAX_AHEAD_BYTES: usize = 16 << 10;
+/// Bytes that are read ahead of the HTTP server: many requests without a body.
+const MAX_AHEAD_BYTES: usize = 32 << 10;
 
 /// Bytes of one read.
 const READ_BYTES: usize = 4 << 10;
 
+/// Headers of a request that are looked at; one with more is left to the HTTP server alone.
+const MAX_HEADERS: usize = 64;
+
+/// A head seen ahead; `None` where the request has a body.
+pub type Head = Option<Request<()>>;
+
 struct Inner {
     stream: TcpStream,
     ahead: BytesMut,
+    /// Bytes of `ahead` that belong to requests whose length is known.
+    scanned: u64,
+    /// Lengths of these requests that the HTTP server has not read yet.
+    lengths: VecDeque<u64>,
+    /// Heads that nobody has taken yet.
+    heads: VecDeque<Head>,
+    /// Whether what follows is left to the HTTP server alone.
+    opaque: bool,
     ended: Option<io::Result<()>>,
 }
 
@@ -36,7 +56,8 @@
     inner: Arc<Mutex<Inner>>,
 }
 
-/// Watches a caller's socket; used by the same task as the socket, so that the lock is never contended.
+/// Sees what comes in behind the request in service; used by the same task as the socket, so that the lock is
+/// never contended.
 #[derive(Clone)]
 pub struct CallerWatch {
     inner: Arc<Mutex<Inner>>,
@@ -45,50 +66,164 @@
 impl CallerSocket {
     /// The socket for the HTTP server, and what watches it.
     pub fn new(stream: TcpStream) -> (Self, CallerWatch) {
-        let inner = Inner { stream, ahead: BytesMut::new(), ended: None };
+        let inner = Inner {
+            stream,
+            ahead: BytesMut::new(),
+            scanned: 0,
+            lengths: VecDeque::new(),
+            heads: VecDeque::new(),
+            opaque: false,
+            ended: None,
+        };
         let inner = Arc::new(Mutex::new(inner));
         (Self { inner: Arc::clone(&inner) }, CallerWatch { inner })
     }
 
     fn inner(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 }
 
 impl CallerWatch {
-    /// Waits until the caller has closed its side or the connection is lost.
-    pub async fn left(&self) {
+    /// Heads that came since the last call, in their order.
+    pub fn take_heads(&self) -> VecDeque<Head> {
+        std::mem::take(&mut lock(&self.inner).heads)
+    }
+
+    /// Waits for more heads; `None` once the caller has closed its side or the connection is lost.
+    pub async fn more(&self) -> Option<VecDeque<Head>> {
         poll_fn(|cx| {
-            let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
-            inner.poll_ahead(cx)
+            let mut inner = lock(&self.inner);
+            loop {
+                if !inner.heads.is_empty() {
+                    return Poll::Ready(Some(std::mem::take(&mut inner.heads)));
+                }
+                if inner.ended.is_some() {
+                    return Poll::Ready(None);
+                }
+                if inner.ahead.len() >= MAX_AHEAD_BYTES {
+                    return Poll::Pending;
+                }
+                ready!(inner.poll_fill(cx));
+                // The HTTP server, in the same task, may wait for these bytes.
+                cx.waker().wake_by_ref();
+            }
         })
-        .await;
+        .await
     }
 }
 
 impl Inner {
-    /// Reads ahead until the stream ends; waits for room when the bound is reached.
-    fn poll_ahead(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        while self.ended.is_none() {
-            if self.ahead.len() >= MAX_AHEAD_BYTES {
-                return Poll::Pending;
+    /// Reads once from the socket and looks at what came.
+    fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [0; READ_BYTES];
+        let mut buf = ReadBuf::new(&mut bytes);
+        match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
+            Ok(()) if buf.filled().is_empty() => self.ended = Some(Ok(())),
+            Ok(()) => {
+                self.ahead.extend_from_slice(buf.filled());
+                self.scan();
             }
-            let mut bytes = [0; READ_BYTES];
-            let mut buf = ReadBuf::new(&mut bytes);
-            match ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf)) {
-                Ok(()) if buf.filled().is_empty() => self.ended = Some(Ok(())),
-                Ok(()) => {
-                    self.ahead.extend_from_slice(buf.filled());
-                    // The HTTP server, in the same task, may wait for these bytes.
-                    cx.waker().wake_by_ref();
+            Err(e) => self.ended = Some(Err(e)),
+        }
+        Poll::Ready(())
+    }
+
+    /// Finds the requests whose heads are complete.
+    fn scan(&mut self) {
+        while !self.opaque && self.scanned < self.ahead.len() as u64 {
+            let rest = &self.ahead[self.scanned as usize..];
+            let Some(seen) = look(rest) else {
+                // An endless head is the HTTP server's to refuse.
+                self.opaque = rest.len() >= MAX_AHEAD_BYTES / 2;
+                return;
+            };
+            match seen {
+                Seen::Request { length, head } => {
+                    self.scanned += length;
+                    self.lengths.push_back(length);
+                    self.heads.push_back(head);
                 }
-                Err(e) => self.ended = Some(Err(e)),
+                Seen::Opaque => self.opaque = true,
             }
         }
-        Poll::Ready(())
+    }
+
+    /// Bytes that the HTTP server may have now: no further than the end of one request.
+    fn available(&self) -> usize {
+        match self.lengths.front() {
+            Some(length) => (*length).min(self.ahead.len() as u64) as usize,
+            None if self.opaque || self.ended.is_some() => self.ahead.len(),
+            None => 0,
+        }
+    }
+
+    fn consume(&mut self, count: usize) {
+        self.ahead.advance(count);
+        self.scanned = self.scanned.saturating_sub(count as u64);
+        if let Some(length) = self.lengths.front_mut() {
+            *length -= count as u64;
+            if *length == 0 {
+                self.lengths.pop_front();
+            }
+        }
+    }
+}
+
+enum Seen {
+    /// A request: bytes of head and body together.
+    Request { length: u64, head: Head },
+    /// Something whose end is not known here.
+    Opaque,
+}
+
+/// Looks at the head at the start of `bytes`; `None` if it is not complete.
+fn look(bytes: &[u8]) -> Option<Seen> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Request::new(&mut headers);
+    match parsed.parse(bytes) {
+        Ok(httparse::Status::Partial) => None,
+        Ok(httparse::Status::Complete(length)) => Some(seen(&parsed, length as u64)),
+        Err(_) => Some(Seen::Opaque),
+    }
+}
+
+fn seen(parsed: &httparse::Request<'_, '_>, head_length: u64) -> Seen {
+    let Some(req) = request(parsed) else {
+        return Seen::Opaque;
+    };
+    let headers = req.headers();
+    let ends = headers.get(header::CONNECTION).is_some_and(|v| v != "keep-alive");
+    let unclear =
+        [header::TRANSFER_ENCODING, header::UPGRADE, header::EXPECT].map(|n| headers.contains_key(n));
+    if ends || unclear.contains(&true) || headers.get_all(header::CONTENT_LENGTH).iter().count() > 1 {
+        return Seen::Opaque;
+    }
+    match headers.get(header::CONTENT_LENGTH).map(|v| v.to_str().ok()?.parse::<u64>().ok()) {
+        None | Some(Some(0)) => Seen::Request { length: head_length, head: Some(req) },
+        Some(Some(body)) => Seen::Request { length: head_length + body, head: None },
+        Some(None) => Seen::Opaque,
     }
 }
 
+fn request(parsed: &httparse::Request<'_, '_>) -> Option<Request<()>> {
+    let mut req = Request::builder()
+        .method(parsed.method?)
+        .uri(parsed.path?)
+        .version(if parsed.version? == 1 { Version::HTTP_11 } else { return None })
+        .body(())
+        .ok()?;
+    for header in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        req.headers_mut().append(name, HeaderValue::from_bytes(header.value).ok()?);
+    }
+    Some(req)
+}
+
+fn lock(inner: &Mutex<Inner>) -> MutexGuard<'_, Inner> {
+    inner.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Read for CallerSocket {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -96,23 +231,18 @@
         mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let mut inner = self.inner();
-        if !inner.ahead.is_empty() {
-            let taken = inner.ahead.len().min(buf.remaining());
-            buf.put_slice(&inner.ahead[..taken]);
-            inner.ahead.advance(taken);
-            return Poll::Ready(Ok(()));
-        }
-        if let Some(ended) = &mut inner.ended {
-            return Poll::Ready(std::mem::replace(ended, Ok(())));
-        }
-        let mut bytes = [0; READ_BYTES];
-        let room = buf.remaining().min(READ_BYTES);
-        let mut read = ReadBuf::new(&mut bytes[..room]);
-        let polled = Pin::new(&mut inner.stream).poll_read(cx, &mut read);
-        if let Poll::Ready(Ok(())) = &polled {
-            buf.put_slice(read.filled());
+        loop {
+            let count = inner.available().min(buf.remaining());
+            if count > 0 {
+                buf.put_slice(&inner.ahead[..count]);
+                inner.consume(count);
+                return Poll::Ready(Ok(()));
+            }
+            if let Some(ended) = &mut inner.ended {
+                return Poll::Ready(std::mem::replace(ended, Ok(())));
+            }
+            ready!(inner.poll_fill(cx));
         }
-        polled
     }
 }
 
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -4,9 +4,10 @@
     super::{
         attempt_driver::{CallEnd, Driver, OutgoingBody, OutgoingRequest},
         body::{Body, stream},
-        caller_socket::{CallerSocket, CallerWatch},
+        caller_socket::CallerSocket,
         headers,
         hop::probe_request,
+        pipeline::{Pipeline, RunningAhead},
         responses,
         shared::Shared,
         treatment::Treatment,
@@ -15,7 +16,7 @@
         attempt::{CallSpec, NotRunReason, Outcome},
         metrics::Metrics,
         routing::{Candidate, ProbeBudget, ServiceTable, next_probe},
-        schema::CallerLimits,
+        schema::{CallerLimits, WorkKind},
         tick::Tick,
     },
     bytes::Bytes,
@@ -24,6 +25,7 @@
         HeaderMap, Request, Response, StatusCode,
         body::{Body as HttpBody, Incoming},
         header,
+        http::request::Parts,
         service::service_fn,
     },
     hyper_util::{
@@ -35,7 +37,7 @@
     std::{convert::Infallible, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
@@ -57,6 +59,9 @@
 /// Pause after a failed accept; descriptors are short, and others will close.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time between two looks at whether the last call that runs ahead of its turn was answered.
+const PIPELINE_POLL: Duration = Duration::from_millis(10);
+
 /// When a caller may come back to a node that does not know the fleet or its settings yet.
 const NOT_READY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -146,9 +151,10 @@
 
     async fn connection(self, socket: TcpStream, shared: &Shared) {
         let (socket, watch) = CallerSocket::new(socket);
-        let service = service_fn(move |req: Request<Incoming>| {
-            let (entry, watch) = (self.clone(), watch.clone());
-            async move { Ok::<_, Infallible>(entry.request(req, &watch).await) }
+        let pipeline = Pipeline::new(watch);
+        let service = service_fn(|req: Request<Incoming>| {
+            let (entry, pipeline) = (self.clone(), pipeline.clone());
+            async move { Ok::<_, Infallible>(entry.request(req, &pipeline).await) }
         });
         let limits = caller_limits(shared);
         let head_bytes = limits.max_header_bytes.max(MIN_HEAD_BYTES);
@@ -166,33 +172,70 @@
         // A caller's broken connection concerns nobody else.
         tokio::select! {
             _ended = served.as_mut() => return,
-            () = shared.stopping.cancelled() => served.as_mut().graceful_shutdown(),
+            () = shared.stopping.cancelled() => {}
+        }
+        while !pipeline.is_clear() {
+            tokio::select! {
+                _ended = served.as_mut() => return,
+                () = sleep(PIPELINE_POLL) => {}
+            }
         }
+        served.as_mut().graceful_shutdown();
         let _ended = served.await;
     }
 
-    async fn request(&self, req: Request<Incoming>, watch: &CallerWatch) -> Response<Body> {
+    async fn request(&self, req: Request<Incoming>, pipeline: &Pipeline) -> Response<Body> {
         let shared = &self.driver.shared;
         let started = shared.now();
         let id = request_id(shared, req.headers());
+        let call = async {
+            match pipeline.begin(&req) {
+                Some(ahead) => ahead.answer().await.unwrap_or_else(lost_answer),
+                None => {
+                    let (parts, body) = req.into_parts();
+                    self.call(parts, Some(body), &id, started).await
+                }
+            }
+        };
         let mut res = tokio::select! {
-            res = self.call(req, &id, started) => res,
-            () = watch.left() => {
+            res = call => res,
+            () = pipeline.run_ahead(|head| self.start_ahead(head)) => {
                 Metrics::count(&shared.metrics.calls, "caller-left");
                 let elapsed_ms = shared.now().since(started).as_millis() as u64;
                 log::info!(target: "entry", request = &*id, elapsed_ms; "caller left, call cancelled");
                 responses::unknown(StatusCode::GATEWAY_TIMEOUT)
             }
         };
-        if shared.draining() {
+        if shared.draining() && pipeline.is_clear() {
             responses::set(&mut res, &header::CONNECTION, "close");
         }
         res
     }
 
-    async fn call(&self, req: Request<Incoming>, id: &str, started: Tick) -> Response<Body> {
+    /// Begins a call ahead of its turn, if its work may repeat: a caller that loses the answer sends it again.
+    fn start_ahead(&self, head: &Request<()>) -> Option<RunningAhead> {
+        let shared = &self.driver.shared;
+        let (parts, ()) = head.clone().into_parts();
+        let treatment = Treatment::of(shared, &parts)?;
+        if treatment.limits.kind != WorkKind::Idempotent || shared.draining() {
+            return None;
+        }
+        let started = shared.now();
+        let id = request_id(shared, &parts.headers);
+        let entry = self.clone();
+        let call = async move { entry.call(parts, None, &id, started).await };
+        Some(RunningAhead::new(tokio::spawn(call)))
+    }
+
+    async fn call(
+        &self,
+        head: Parts,
+        body: Option<Incoming>,
+        id: &str,
+        started: Tick,
+    ) -> Response<Body> {
         let shared = &self.driver.shared;
-        match self.routed_call(req, id, started).await {
+        match self.routed_call(head, body, id, started).await {
             Ok(res) => res,
             Err(rejection) => {
                 Metrics::count(&shared.metrics.calls, "rejected");
@@ -210,16 +253,17 @@
 
     async fn routed_call(
         &self,
-        req: Request<Incoming>,
+        head: Parts,
+        body: Option<Incoming>,
         id: &str,
         started: Tick,
     ) -> Result<Response<Body>, Rejection> {
         let shared = &self.driver.shared;
-        let treatment = Treatment::of(shared, &req).ok_or_else(|| self.absent(&req))?;
-        if headers::number(req.headers(), &headers::DEPTH).is_some_and(|d| d >= MAX_DEPTH) {
+        let treatment = Treatment::of(shared, &head).ok_or_else(|| self.absent(&head))?;
+        if headers::number(&head.headers, &headers::DEPTH).is_some_and(|d| d >= MAX_DEPTH) {
             return Err(Rejection::TooDeep);
         }
-        let (spec, outgoing) = self.prepare(&treatment, req, started).await?;
+        let (spec, outgoing) = self.prepare(&treatment, head, body, started).await?;
         let Some(table) = shared.table.load().service(&treatment.service).map(Arc::clone) else {
             if !shared.is_ready() {
                 return Err(Rejection::NotReady);
@@ -260,9 +304,9 @@
         );
     }
 
-    fn absent(&self, req: &Request<Incoming>) -> Rejection {
+    fn absent(&self, head: &Parts) -> Rejection {
         if self.driver.shared.is_ready() {
-            Rejection::UnknownService(format!("{}{}", host_name(req), req.uri().path()))
+            Rejection::UnknownService(format!("{}{}", host_name(head), head.uri.path()))
         } else {
             Rejection::NotReady
         }
@@ -271,18 +315,23 @@
     async fn prepare(
         &self,
         treatment: &Treatment,
-        req: Request<Incoming>,
+        mut parts: Parts,
+        body: Option<Incoming>,
         started: Tick,
     ) -> Result<(CallSpec, OutgoingRequest), Rejection> {
         let shared = &self.driver.shared;
         let limits = &treatment.limits;
-        let (mut parts, body) = req.into_parts();
         let is_retry = parts.headers.contains_key(headers::RETRIED);
         let budget = headers::number(&parts.headers, &shared.dialect.budget_ms)
             .map_or(limits.timeout, |ms| limits.timeout.min(Duration::from_millis(ms)));
         clean(&mut parts.headers, shared);
         let deadline = started + budget;
-        let body = hold(body, limits.max_body_bytes, deadline.since(shared.now())).await?;
+        let body = match body {
+            Some(body) => {
+                hold(body, limits.max_body_bytes, deadline.since(shared.now())).await?
+            }
+            None => OutgoingBody::Whole(Bytes::new()),
+        };
         let spec = CallSpec {
             kind: limits.kind,
             deadline,
@@ -355,12 +404,18 @@
 }
 
 /// The host that a caller names, without a port and in lower case.
-pub(super) fn host_name(req: &Request<Incoming>) -> String {
-    let host = req.uri().host().or_else(|| req.headers().get(header::HOST)?.to_str().ok());
+pub(super) fn host_name(head: &Parts) -> String {
+    let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
     let name = host.and_then(|h| h.split(':').next()).unwrap_or("");
     name.to_ascii_lowercase()
 }
 
+/// A call that ran ahead ended without an answer, which only a fault of the node explains.
+fn lost_answer() -> Response<Body> {
+    log::error!(target: "entry", "a call that ran ahead ended without an answer");
+    responses::unknown(StatusCode::BAD_GATEWAY)
+}
+
 /// The identity that the caller gave its request, or one of the node's own for the log.
 fn request_id(shared: &Shared, map: &HeaderMap) -> Arc<str> {
     let given = shared.dialect.request_id.as_ref().and_then(|name| map.get(name)?.to_str().ok());
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        body::{Body, Guarded, stream},
+        body::{Body, Guarded, full, stream},
         dialect::UpstreamLoad,
         headers,
         queue_task::{QueueItem, QueueVerdict, SlotGuard},
@@ -53,6 +53,12 @@
 /// Streams of one connection between nodes.
 const MAX_STREAMS: u32 = 4_096;
 
+/// Largest answer that is held until it is whole; the same as the largest request that can be sent again.
+const MAX_HELD_ANSWER_BYTES: u64 = 65_536;
+
+/// Shortest time for the body of an answer whose head has come: an answer that is ready is delivered, also late.
+const MIN_BODY_TIME: Duration = Duration::from_secs(1);
+
 /// Depth of nested calls assumed when the request names none.
 const FIRST_DEPTH: u64 = 0;
 
@@ -292,7 +298,7 @@
                     Judged::Answer => {
                         let failed = res.status().is_server_error();
                         gate.observe(shared.now(), elapsed, !failed);
-                        self.pass_on(guard, back, res)
+                        self.pass_on(guard, back, attempt, deadline, res).await
                     }
                     Judged::NotRun(reason) => {
                         if res.body().is_end_stream() {
@@ -383,22 +389,40 @@
         }
     }
 
-    fn pass_on(
+    /// Passes an answer on: a small one once it is whole, so that a cut one can be told from it, and a large
+    /// one as it comes.
+    async fn pass_on(
         &self,
         guard: RunGuard,
         mut back: ReturnGuard,
+        attempt: &AttemptHeader,
+        deadline: Tick,
         res: Response<Incoming>,
     ) -> Response<Body> {
         if let Some(connection) = &mut back.connection {
             connection.observe(res.headers());
         }
-        let mut res = res.map(|body| {
+        let (parts, body) = res.into_parts();
+        let size = body.size_hint().exact();
+        let body = if size.is_some_and(|size| size <= MAX_HELD_ANSWER_BYTES) {
+            let limit = deadline.since(self.shared.now()).max(MIN_BODY_TIME);
+            match timeout(limit, body.collect()).await {
+                Ok(Ok(whole)) => {
+                    back.finish();
+                    drop(guard);
+                    full(whole.to_bytes())
+                }
+                Ok(Err(e)) => return self.lost(attempt, &format!("the answer was cut: {e}")),
+                Err(_) => return self.lost(attempt, "the answer did not come to its end in time"),
+            }
+        } else {
             let finished = |(mut back, guard): (ReturnGuard, RunGuard)| {
                 back.finish();
                 drop(guard);
             };
             Guarded::new(stream(body), (back, guard), finished).boxed_unsync()
-        });
+        };
+        let mut res = Response::from_parts(parts, body);
         headers::strip(res.headers_mut());
         headers::strip_hop_by_hop(res.headers_mut());
         if let Some((name, _)) = &self.shared.dialect.load {
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod integration;
 mod node_handle;
 mod operator;
+mod pipeline;
 mod postcard_codec;
 mod queue_task;
 mod responses;
--- a/pistachiolane/src/node/treatment.rs
+++ b/pistachiolane/src/node/treatment.rs
@@ -3,7 +3,7 @@
 use {
     super::{entry::host_name, shared::Shared},
     crate::config::{Limits, Route, SettingsTree},
-    hyper::{Request, body::Incoming},
+    hyper::http::request::Parts,
     rand::RngExt,
     std::sync::Arc,
 };
@@ -34,16 +34,16 @@
 
 impl Treatment {
     /// Treatment of a request; `None` if no route and no service is meant.
-    pub fn of(shared: &Shared, req: &Request<Incoming>) -> Option<Self> {
+    pub fn of(shared: &Shared, head: &Parts) -> Option<Self> {
         let tree = shared.tree.load();
-        let host = host_name(req);
+        let host = host_name(head);
         match tree.routes() {
             Some(routes) => {
-                let route = routes.find(&host, req.uri().path())?;
+                let route = routes.find(&host, head.uri.path())?;
                 let draw = rand::rng().random_range(0.0..1.0);
                 Self::of_route(shared, &tree, route, draw)
             }
-            None => Self::of_service(&tree, &host, req),
+            None => Self::of_service(&tree, &host, head),
         }
     }
 
@@ -61,14 +61,14 @@
     }
 
     /// The service is the first label of the host.
-    fn of_service(tree: &SettingsTree, host: &str, req: &Request<Incoming>) -> Option<Self> {
+    fn of_service(tree: &SettingsTree, host: &str, head: &Parts) -> Option<Self> {
         let name = host.split('.').next()?;
         let settings = tree.service(name)?;
         Some(Self {
             route: Arc::from(name),
             service: Arc::from(name),
             version: 0,
-            limits: Limits::of(settings, req.method().as_str(), req.uri().path()),
+            limits: Limits::of(settings, head.method.as_str(), head.uri.path()),
             retry_percent: settings.retry_percent,
             hedge: settings.hedge,
             max_attempts: ATTEMPTS_WITHOUT_ROUTE,
