--- a/pistachiolane/src/cli/args.rs
+++ b/pistachiolane/src/cli/args.rs
@@ -131,6 +131,13 @@
         help = "retries the fleet keeps in reserve for a service (50)"
     )]
     pub retry_reserve: Option<String>,
+    /// Share of the slots.
+    #[options(
+        no_short,
+        meta = "PERCENT",
+        help = "slots of the upstream that are used at once (100)"
+    )]
+    pub usable_slots: Option<String>,
     /// Log level.
     #[options(no_short, meta = "LEVEL", help = "error, warn, info, debug or trace (info)")]
     pub log_level: Option<String>,
@@ -162,6 +169,7 @@
             "heartbeat" => &self.heartbeat,
             "retry-percent" => &self.retry_percent,
             "retry-reserve" => &self.retry_reserve,
+            "usable-slots" => &self.usable_slots,
             "log-level" => &self.log_level,
             "stop-timeout" => &self.stop_timeout,
             _ => &None,
--- a/pistachiolane/src/limits/adaptive_limit.rs
+++ b/pistachiolane/src/limits/adaptive_limit.rs
@@ -28,11 +28,12 @@
 
 /// Adjusts the concurrency of a gate between one and the announced slots.
 ///
-/// The announced slots may be wrong, and neighbours share the upstream. The limit falls while requests that
+/// An upstream may slow down before all its slots are in use, the announced slots may be wrong, and neighbours share the upstream. The limit falls while requests that
 /// run beside many others take much longer than those that run beside few, and rises again step by step.
 #[derive(Debug)]
 pub struct AdaptiveLimit {
     announced: AtomicU32,
+    usable_percent: AtomicU32,
     limit: AtomicU32,
     latency_us: AtomicU64,
     idle_us: AtomicU64,
@@ -49,6 +50,7 @@
     pub fn new(announced: u32) -> Self {
         Self {
             announced: AtomicU32::new(announced),
+            usable_percent: AtomicU32::new(100),
             limit: AtomicU32::new(announced),
             latency_us: AtomicU64::new(0),
             idle_us: AtomicU64::new(0),
@@ -63,12 +65,19 @@
 
     /// Takes a new announcement of slots.
     pub fn announce(&self, slots: u32) {
-        let old = self.announced.swap(slots, Ordering::Relaxed);
-        if old != slots {
-            self.limit.store(slots, Ordering::Relaxed);
+        let usable = slots * self.usable_percent.load(Ordering::Relaxed) / 100;
+        let usable = usable.max(slots.min(1));
+        let old = self.announced.swap(usable, Ordering::Relaxed);
+        if old != usable {
+            self.limit.store(usable, Ordering::Relaxed);
         }
     }
 
+    /// Sets the share of the announced slots that is used, from the next announcement on.
+    pub fn set_usable_percent(&self, percent: u32) {
+        self.usable_percent.store(percent, Ordering::Relaxed);
+    }
+
     /// Requests that may run at once.
     pub fn get(&self) -> u32 {
         self.limit.load(Ordering::Relaxed)
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -107,6 +107,11 @@
 }
 
 impl Gate {
+    /// Sets the share of the announced slots that is used, from the next announcement on.
+    pub fn set_usable_percent(&self, percent: u32) {
+        self.limit.set_usable_percent(percent);
+    }
+
     /// Takes an announcement of the upstream.
     pub fn announce(&self, now: Tick, slots: u16, draining: bool) {
         if !self.present.swap(true, Ordering::SeqCst) {
--- a/pistachiolane/src/node/announcements.rs
+++ b/pistachiolane/src/node/announcements.rs
@@ -61,6 +61,7 @@
 fn take(shared: &Shared, next: &Announcement) {
     let draining = next.draining || shared.draining();
     let now = shared.now();
+    shared.admission.gate.set_usable_percent(shared.tunables.load().usable_slots);
     shared.upstream.store(Some(Arc::new(next.clone())));
     shared.admission.announce(now, &next.service, next.slots, draining);
     if next.cold_ms > 0 {
--- a/pistachiolane/src/node/caller_socket.rs
+++ b/pistachiolane/src/node/caller_socket.rs
@@ -194,9 +194,10 @@
     };
     let headers = req.headers();
     let ends = headers.get(header::CONNECTION).is_some_and(|v| v != "keep-alive");
-    let unclear =
-        [header::TRANSFER_ENCODING, header::UPGRADE, header::EXPECT].map(|n| headers.contains_key(n));
-    if ends || unclear.contains(&true) || headers.get_all(header::CONTENT_LENGTH).iter().count() > 1 {
+    let unclear = [header::TRANSFER_ENCODING, header::UPGRADE, header::EXPECT]
+        .map(|n| headers.contains_key(n));
+    if ends || unclear.contains(&true) || headers.get_all(header::CONTENT_LENGTH).iter().count() > 1
+    {
         return Seen::Opaque;
     }
     match headers.get(header::CONTENT_LENGTH).map(|v| v.to_str().ok()?.parse::<u64>().ok()) {
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -327,9 +327,7 @@
         clean(&mut parts.headers, shared);
         let deadline = started + budget;
         let body = match body {
-            Some(body) => {
-                hold(body, limits.max_body_bytes, deadline.since(shared.now())).await?
-            }
+            Some(body) => hold(body, limits.max_body_bytes, deadline.since(shared.now())).await?,
             None => OutgoingBody::Whole(Bytes::new()),
         };
         let spec = CallSpec {
--- a/pistachiolane/src/node/pipeline.rs
+++ b/pistachiolane/src/node/pipeline.rs
@@ -1,7 +1,10 @@
 //! Requests that a caller has pipelined: work on them begins while the one before is still served.
 
 use {
-    super::{body::Body, caller_socket::{CallerWatch, Head}},
+    super::{
+        body::Body,
+        caller_socket::{CallerWatch, Head},
+    },
     hyper::{Request, Response, body::Incoming},
     std::{
         collections::VecDeque,
--- a/pistachiolane/src/settings/tunables.rs
+++ b/pistachiolane/src/settings/tunables.rs
@@ -14,6 +14,9 @@
 /// Retries that the whole fleet keeps in reserve for each service when nothing is set: five for each of ten nodes.
 const DEFAULT_RETRY_RESERVE: u32 = 50;
 
+/// Share of the slots in percent that is used when nothing is set.
+const DEFAULT_USABLE_SLOTS: u32 = 100;
+
 record! {
     /// Settings that can change while the node runs.
     #[derive(Copy)]
@@ -26,6 +29,8 @@
         pub retry_percent: u32,
         /// Retries and hedges of one service that the whole fleet may make beyond that, at once.
         pub retry_reserve: u32,
+        /// Share of an upstream's slots that is used at once, in percent; some slow down when nearly full.
+        pub usable_slots: u32,
     }
 }
 
@@ -41,6 +46,13 @@
         let retry_percent = reader.value("retry-percent", DEFAULT_RETRY_PERCENT, "whole percent");
         let retry_reserve =
             reader.value("retry-reserve", DEFAULT_RETRY_RESERVE, "a whole number of retries");
-        Self { stop_timeout, heartbeat, retry_percent, retry_reserve }
+        let usable_slots = reader.value("usable-slots", DEFAULT_USABLE_SLOTS, "percent, 1 to 100");
+        Self {
+            usable_slots: usable_slots.clamp(1, 100),
+            stop_timeout,
+            heartbeat,
+            retry_percent,
+            retry_reserve,
+        }
     }
 }
