Bytes between zones have a price in the choice; upstreams' refusals draw on the retry budget

Change: a refusal by the upstream itself is a reason of its own, counts as a failure of the upstream, and allows another try only from the retry budget. Links have a price per kilobyte in the expected completion time. A gate that is busy and still the best choice may queue the attempt. A stop ends within its limit, and callers have 2.7 s to move. Tests: shed_draws_on_the_retry_budget, pick_price_of_bytes.

--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -33,8 +33,8 @@
 /// When a caller that found the service full may come back.
 const RETRY_AFTER_FULL: Duration = Duration::from_secs(1);
 
-/// Bytes that a request spilled to another region is assumed to cost.
-const SPILL_BYTES: u64 = 4_096;
+/// Least bytes that a request spilled to another region is assumed to cost.
+const MIN_SPILL_BYTES: u64 = 4_096;
 
 /// Retries that hedges leave in the budget, for when an upstream fails.
 const HEDGE_RESERVE: u64 = 5;
@@ -178,9 +178,18 @@
         if flight.hedge || !self.flights.is_empty() {
             return Vec::new();
         }
+        if reason == RefusalReason::Shed && !self.may_try_after_shed(cx) {
+            let outcome = self.give_up(NotRunReason::ServiceFull);
+            return self.finish(now, outcome);
+        }
         self.next_attempt(now, cx, rng)
     }
 
+    /// Whether the budget allows one more arrival at an upstream after one turned the call away.
+    fn may_try_after_shed(&self, cx: CallContext<'_>) -> bool {
+        !self.spec.is_retry && cx.table.state.retries.try_withdraw()
+    }
+
     fn unsent<R: Rng>(
         &mut self,
         now: Tick,
@@ -370,15 +379,20 @@
             return self.finish(now, outcome);
         }
         let direct = self.spec.replayable && self.direct < DIRECT_ATTEMPTS;
-        let tried = self.tried(direct);
-        let req = PickRequest { now, tried: &tried, may_spill: true };
+        let req = PickRequest { now, tried: &self.excluded, may_spill: true };
         let found = pick(cx.table, req, rng)
             .filter(|p| p.candidate.distance != Distance::Remote || may_spill(now, cx))
             .or_else(|| pick(cx.table, PickRequest { may_spill: false, ..req }, rng));
         let Some(found) = found else {
-            return self.no_candidate(now, cx, rng, direct);
+            let reason =
+                if self.queued > 0 { NotRunReason::ServiceFull } else { NotRunReason::NoUpstream };
+            let outcome = self.give_up(reason);
+            return self.finish(now, outcome);
         };
-        let may_queue = !direct || found.estimate.utilisation >= QUEUE_UTILISATION;
+        // A gate that has just said that it is busy, and is still the best, may queue the attempt.
+        let is_busy = self.busy.contains(&found.candidate.member.node)
+            || found.estimate.utilisation >= QUEUE_UTILISATION;
+        let may_queue = !direct || is_busy;
         if may_queue {
             self.queued += 1;
         } else {
@@ -392,28 +406,6 @@
         vec![self.send(now, cx, found.candidate, may_queue, cause)]
     }
 
-    fn no_candidate<R: Rng>(
-        &mut self,
-        now: Tick,
-        cx: CallContext<'_>,
-        rng: &mut R,
-        direct: bool,
-    ) -> Vec<CallAction> {
-        if direct && !self.busy.is_empty() {
-            self.direct = DIRECT_ATTEMPTS;
-            return self.next_attempt(now, cx, rng);
-        }
-        let reason =
-            if self.queued > 0 { NotRunReason::ServiceFull } else { NotRunReason::NoUpstream };
-        let outcome = self.give_up(reason);
-        self.finish(now, outcome)
-    }
-
-    fn tried(&self, direct: bool) -> Vec<u64> {
-        let busy: &[u64] = if direct { &self.busy } else { &[] };
-        self.excluded.iter().chain(busy).copied().collect()
-    }
-
     fn send(
         &mut self,
         now: Tick,
@@ -478,5 +470,6 @@
 }
 
 fn may_spill(now: Tick, cx: CallContext<'_>) -> bool {
-    cx.paid.try_take(now, SPILL_BYTES)
+    let bytes = cx.table.state.bytes.get() as u64;
+    cx.paid.try_take(now, bytes.max(MIN_SPILL_BYTES))
 }
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -50,6 +50,8 @@
         Retired,
         /// The time budget was used up.
         Expired,
+        /// The upstream itself turned the request away; each such arrival counts against the retry budget.
+        Shed,
     }
 }
 
@@ -63,12 +65,14 @@
             Self::NotHere => "not-here",
             Self::Retired => "retired",
             Self::Expired => "expired",
+            Self::Shed => "shed",
         }
     }
 
     /// Reason of a name; an unknown one counts as the gate not being usable.
     pub fn from_name(name: &[u8]) -> Self {
-        let all = [Self::Busy, Self::QueueFull, Self::Draining, Self::Retired, Self::Expired];
+        let all =
+            [Self::Busy, Self::QueueFull, Self::Draining, Self::Retired, Self::Expired, Self::Shed];
         all.into_iter().find(|r| r.name().as_bytes() == name).unwrap_or(Self::NotHere)
     }
 }
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -1,6 +1,7 @@
 //! Limits: slots and queue of a gate, and the budgets for retries, probes and paid bytes.
 
 mod adaptive_limit;
+mod average;
 mod gate;
 mod platform_share;
 mod quantile;
@@ -11,6 +12,7 @@
 
 pub use {
     adaptive_limit::AdaptiveLimit,
+    average::Average,
     gate::{Arrival, Gate, RefusalReason},
     platform_share::{MILLI, WATCHERS_PER_REGION, platform_budget, platform_share},
     quantile::Quantile,
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -23,7 +23,9 @@
         future::{AbortHandle, Abortable, BoxFuture},
         stream::FuturesUnordered,
     },
-    hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, header::HeaderValue},
+    hyper::{
+        HeaderMap, Method, Request, Response, StatusCode, Uri, body::Body as _, header::HeaderValue,
+    },
     std::{
         collections::VecDeque,
         net::SocketAddr,
@@ -59,6 +61,16 @@
     Once(Option<Body>),
 }
 
+impl OutgoingBody {
+    /// Bytes that are known to be sent with each attempt.
+    fn size(&self) -> u64 {
+        match self {
+            Self::Whole(bytes) => bytes.len() as u64,
+            Self::Once(body) => body.as_ref().map_or(0, |b| b.size_hint().lower()),
+        }
+    }
+}
+
 /// End of a driven call.
 #[derive(Debug)]
 pub enum CallEnd {
@@ -256,6 +268,9 @@
                 CallEvent::Lost(id)
             }
             AttemptEnd::Answered(res, report, failed) => {
+                let request = self.req.body.size();
+                let answer = res.body().size_hint().exact().unwrap_or(0);
+                self.table.state.bytes.record((request + answer) as f64);
                 self.answers.push((id, res));
                 CallEvent::Answered { id, report, failed }
             }
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -301,6 +301,7 @@
                         self.pass_on(guard, back, attempt, deadline, res).await
                     }
                     Judged::NotRun(reason) => {
+                        gate.observe(shared.now(), elapsed, false);
                         if res.body().is_end_stream() {
                             back.finish();
                         }
@@ -369,7 +370,7 @@
             return Judged::NotRun(RefusalReason::NotHere);
         }
         if dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name)) {
-            return Judged::NotRun(RefusalReason::Busy);
+            return Judged::NotRun(RefusalReason::Shed);
         }
         let signed = |name: &header::HeaderName| headers.contains_key(name);
         if dialect.signature.as_ref().is_some_and(|name| !signed(name)) {
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -35,8 +35,9 @@
     },
 };
 
-/// Time for which a leaving node goes on accepting callers, while the others learn of it.
-const SPREAD_TIME: Duration = Duration::from_millis(700);
+/// Time for which a leaving node goes on accepting callers: they are asked to go after two looks at its
+/// readiness, one a second, and the other nodes learn of it meanwhile.
+const MOVE_TIME: Duration = Duration::from_millis(2_700);
 
 /// Announcements that may wait to be taken.
 const MAX_NEWS: usize = 64;
@@ -45,7 +46,7 @@
 const STOP_POLL: Duration = Duration::from_millis(10);
 
 /// Time for the last bytes of connections between nodes.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+const CLOSE_TIME: Duration = Duration::from_millis(300);
 
 /// Time between two clean-ups of the ledger.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
@@ -142,14 +143,14 @@
             .load_full()
             .map(|u| Placement { service: Arc::clone(&u.service), slots: u.slots });
         self.control.placement(upstreams.into_iter().collect(), Health::Draining).await;
-        sleep(SPREAD_TIME).await;
+        sleep(MOVE_TIME.min(limit / 2)).await;
         self.shared.stopping.cancel();
         self.shared.work.close();
-        while Instant::now() < until && !self.is_idle() {
+        while Instant::now() + CLOSE_TIME < until && !self.is_idle() {
             sleep(STOP_POLL).await;
         }
         let whole = self.is_idle();
-        self.gate.close(CLOSE_TIMEOUT).await;
+        self.gate.close(until.saturating_duration_since(Instant::now())).await;
         log::info!(target: "node", whole; "left");
         whole
     }
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -18,6 +18,12 @@
 /// Service time assumed while no upstream of the service has reported one.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(5);
 
+/// Bytes of a kilobyte, in which links are priced.
+const BYTES_PER_KB: f64 = 1_000.0;
+
+/// Highest price of a transfer, as a time in microseconds: a caller's wait goes before any bytes.
+const MAX_PRICE_US: f64 = 400_000.0;
+
 /// Extra occupancy, as a share of the slots, that a cold or returning upstream is charged.
 const SLOW_START_OCCUPANCY: f64 = 0.7;
 
@@ -38,12 +44,14 @@
         pub utilisation: f64,
         /// Service time in microseconds.
         pub latency_us: f64,
+        /// Bytes of a request and its answer.
+        pub bytes: f64,
     }
 
     /// What an entry expects of one upstream.
     #[derive(Copy)]
     pub struct Estimate {
-        /// Time until the answer, in microseconds, link included.
+        /// Time until the answer, in microseconds, link and price of the transfer included.
         pub completion_us: f64,
         /// Requests expected to run or queue there already, relative to its slots.
         pub utilisation: f64,
@@ -64,11 +72,18 @@
             latencies.push(report.latency_us);
         }
         if latencies.is_empty() {
-            return Self { utilisation: 0.0, latency_us: micros(DEFAULT_LATENCY) as f64 };
+            let latency_us = micros(DEFAULT_LATENCY) as f64;
+            return Self { utilisation: 0.0, latency_us, bytes: 0.0 };
         }
         let count = latencies.len();
         let (_, median, _) = latencies.select_nth_unstable(count / 2);
-        Self { utilisation: utilisation / count as f64, latency_us: f64::from(*median) }
+        let latency_us = f64::from(*median);
+        Self { utilisation: utilisation / count as f64, latency_us, bytes: 0.0 }
+    }
+
+    /// Adds what a request and its answer carry.
+    pub fn with_bytes(self, bytes: f64) -> Self {
+        Self { bytes, ..self }
     }
 }
 
@@ -90,8 +105,11 @@
         let load = (expected + 1.0) / slots;
         // Below full the slots are parallel; a small slope spreads load over equals.
         let factor = if load <= 1.0 { 1.0 + 0.2 * load * load } else { 0.2 + load };
+        let price = candidate.distance.price_us_per_kb() * norm.bytes / BYTES_PER_KB;
         Self {
-            completion_us: latency * factor + micros(candidate.link()) as f64,
+            completion_us: latency * factor
+                + micros(candidate.link()) as f64
+                + price.min(MAX_PRICE_US),
             utilisation: expected / slots,
         }
     }
--- a/pistachiolane/src/routing/pick.rs
+++ b/pistachiolane/src/routing/pick.rs
@@ -47,7 +47,7 @@
     let sound: Vec<&Arc<Candidate>> = usable.iter().copied().filter(healthy).collect();
     let from = if sound.is_empty() { usable } else { sound };
     let from = near(from, req.may_spill);
-    let norm = ServiceNorm::of(from.iter().map(AsRef::as_ref));
+    let norm = ServiceNorm::of(from.iter().map(AsRef::as_ref)).with_bytes(table.state.bytes.get());
     lowest(req.now, &from, &norm, rng)
 }
 
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -3,7 +3,7 @@
 use {
     super::Candidate,
     crate::{
-        limits::{Quantile, RetryBudget},
+        limits::{Average, Quantile, RetryBudget},
         tick::Tick,
     },
     std::sync::Arc,
@@ -25,11 +25,17 @@
     pub retries: RetryBudget,
     /// Latency after which a hedge is worth its price.
     pub hedge_after: Quantile,
+    /// Bytes of a request and its answer.
+    pub bytes: Average,
 }
 
 impl Default for ServiceState {
     fn default() -> Self {
-        Self { retries: RetryBudget::default(), hedge_after: Quantile::new(HEDGE_PERMILLE) }
+        Self {
+            retries: RetryBudget::default(),
+            hedge_after: Quantile::new(HEDGE_PERMILLE),
+            bytes: Average::default(),
+        }
     }
 }
 
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -29,6 +29,7 @@
     paid: TokenBucket,
     sequence: AtomicU64,
     rng: SmallRng,
+    spec: CallSpec,
     call: Call,
 }
 
@@ -52,6 +53,7 @@
             paid: TokenBucket::new(0, 0),
             sequence: AtomicU64::new(0),
             rng: SmallRng::seed_from_u64(1),
+            spec,
             call: Call::new(spec),
         }
     }
@@ -207,3 +209,27 @@
     members.step(Tick(2), &mut rng, MembershipEvent::Records(vec![member(2)]));
     assert!(members.has_joined(Tick(3)));
 }
+
+/// Grey upstreams that turn every request away draw each further arrival from the retry budget.
+#[test]
+fn shed_draws_on_the_retry_budget() {
+    let mut arrivals = 0;
+    let mut bench = Bench::new(WorkKind::Idempotent, 8);
+    let retries = &bench.table.state.retries;
+    while retries.try_withdraw() {}
+    for _ in 0..100 {
+        bench.call = Call::new(CallSpec { hedge: false, ..bench.spec });
+        let mut next = Some(bench.start());
+        while let Some(id) = next {
+            arrivals += 1;
+            let actions = bench.step(Tick(1), CallEvent::Refused(id, RefusalReason::Shed, None));
+            next = sent(&actions).map(|(id, _)| id);
+            if next.is_none() {
+                let end = finished(&actions);
+                assert!(matches!(end, Some(Outcome::NotRun { .. })), "{end:?}");
+            }
+        }
+    }
+    // A tenth of the requests, the retry percentage of the bench.
+    assert!((100..=110).contains(&arrivals), "{arrivals} arrivals of 100 requests");
+}
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -154,3 +154,16 @@
     let again = NOW + Duration::from_millis(300);
     assert!(next_probe(&table, again, budget).is_none());
 }
+
+/// Load between zones: bytes that leave a zone cost money, so moderate load stays, and a long queue goes.
+#[test_case(5_000.0, 5, 1; "moderate load stays in its zone")]
+#[test_case(5_000.0, 20, 2; "a long queue leaves the zone")]
+#[test_case(90_000.0, 20, 1; "a large answer stays for longer")]
+#[test_case(0.0, 9, 2; "without bytes only the link counts")]
+fn pick_price_of_bytes(bytes: f64, running_near: u16, expected: u64) {
+    let table = table(&[Distance::Zone, Distance::Region]);
+    table.state.bytes.record(bytes);
+    table.candidates[0].report(NOW, &report(1, running_near, 80_000));
+    table.candidates[1].report(NOW, &report(1, 0, 80_000));
+    assert_eq!(picks(&table, &[], true), [expected]);
+}
