Admission by class and target

Change: gates know how long each class of requests takes. What cannot end in time is refused at once; what will end late fills only spare slots and never waits; the queue goes by priority, then by who can be on time. Tests: admit_hopeless, admit_late_callers_leave_room, queue_on_time_first, queue_by_priority.

--- a/lab/src/faults/world.rs
+++ b/lab/src/faults/world.rs
@@ -240,6 +240,8 @@
             repeatable: candidate.member.upstreams[0].service.as_ref() == "lookups",
             may_queue,
             priority: 0,
+            class: 0,
+            target_us: u64::MAX,
             service: Arc::clone(&candidate.member.upstreams[0].service),
             caller: Arc::from(if call.is_multiple_of(3) { "" } else { "lookups" }),
         };
@@ -396,6 +398,8 @@
             hedge: true,
             replayable: true,
             max_attempts: 3,
+            target: Tick(u64::MAX),
+            class: 0,
             priority: 0,
         };
         self.truth.begin(call, kind);
--- a/lab/src/policy/model.rs
+++ b/lab/src/policy/model.rs
@@ -252,6 +252,8 @@
                 hedge: self.policy == Policy::Pistachiolane,
                 replayable: true,
                 max_attempts: 3,
+                target: Tick(u64::MAX),
+                class: 0,
                 priority: 0,
             };
             let service = Arc::from("sizing");
@@ -398,6 +400,8 @@
                     repeatable: true,
                     may_queue,
                     priority: 0,
+                    class: 0,
+                    target_us: u64::MAX,
                     service: Arc::from("sizing"),
                     caller: Arc::from(""),
                 };
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -302,6 +302,8 @@
             hedge: true,
             replayable: true,
             max_attempts: 3,
+            target: Tick(u64::MAX),
+            class: 0,
             priority: 0,
         };
         let mut call = Call::new(spec);
@@ -315,6 +317,8 @@
                 repeatable: false,
                 may_queue,
                 priority: 0,
+                class: 0,
+                target_us: u64::MAX,
                 service: Arc::clone(&service),
                 caller: Arc::clone(&service),
             };
--- a/pistachiolane/src/attempt/admission.rs
+++ b/pistachiolane/src/attempt/admission.rs
@@ -3,7 +3,7 @@
 use {
     super::{BeginError, Ledger, LedgerEntry},
     crate::{
-        limits::{Arrival, Gate, RefusalReason},
+        limits::{Arrival, Demand, Gate, RefusalReason, ServiceTimes, StartBy},
         schema::{AttemptHeader, SettleRequest, Settlement},
         tick::Tick,
     },
@@ -27,8 +27,10 @@
 /// An admitted or waiting attempt.
 #[derive(Clone, Debug)]
 pub struct Ticket {
-    /// Time after which the attempt is not started.
+    /// End of the attempt's time.
     pub deadline: Tick,
+    /// Latest starts.
+    pub start_by: StartBy,
     entry: Option<Arc<LedgerEntry>>,
 }
 
@@ -65,6 +67,8 @@
 pub struct Admission {
     /// Slots, queue places and load.
     pub gate: Gate,
+    /// Service times by class.
+    pub times: ServiceTimes,
     /// Memory of attempts that must not repeat.
     pub ledger: Ledger,
     node: u64,
@@ -75,7 +79,13 @@
     /// Admission of one run of a node, without an upstream.
     pub fn new(node: u64) -> Self {
         let service = ArcSwapOption::empty();
-        Self { gate: Gate::default(), ledger: Ledger::new(node), node, service }
+        Self {
+            gate: Gate::default(),
+            times: ServiceTimes::default(),
+            ledger: Ledger::new(node),
+            node,
+            service,
+        }
     }
 
     /// Takes an announcement of the upstream.
@@ -104,9 +114,18 @@
             Err(BeginError::ConnectionRetired) => return Received::Refuse(RefusalReason::Retired),
             Err(BeginError::Duplicate) => return Received::Doubt,
         };
-        let remaining = Duration::from_micros(attempt.budget_us);
-        let ticket = Ticket { deadline: now + remaining, entry };
-        match self.gate.arrive(remaining, attempt.may_queue) {
+        let demand = Demand {
+            remaining: Duration::from_micros(attempt.budget_us),
+            target: Duration::from_micros(attempt.target_us),
+            expected: self.times.expected(attempt.class),
+            may_queue: attempt.may_queue,
+        };
+        let start_by = StartBy {
+            deadline: now + demand.longest_wait().unwrap_or_default(),
+            on_time: now + demand.on_time_wait().unwrap_or_default(),
+        };
+        let ticket = Ticket { deadline: now + demand.remaining, start_by, entry };
+        match self.gate.admit(&demand) {
             Arrival::Run => Received::Run(ticket),
             Arrival::Queue => Received::Queue(ticket),
             Arrival::Refuse(reason) => {
--- a/pistachiolane/src/attempt/call_spec.rs
+++ b/pistachiolane/src/attempt/call_spec.rs
@@ -20,6 +20,10 @@
         pub replayable: bool,
         /// Upstreams that may run the request, the first included.
         pub max_attempts: u32,
+        /// Time until which an answer has its full value.
+        pub target: Tick,
+        /// Class of requests that take about as long.
+        pub class: u32,
         /// Rank under overload; 0 is served first.
         pub priority: u8,
     }
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -188,7 +188,7 @@
             Received::Run(ticket) => vec![self.start(now, delivery, ticket)],
             Received::Queue(ticket) => {
                 let line = Line { priority: header.priority, caller: Arc::clone(&header.caller) };
-                self.queue.push(line, ticket.deadline, delivery);
+                self.queue.push(line, ticket.start_by, delivery);
                 self.tickets.insert(delivery, ticket);
                 Vec::new()
             }
--- /dev/null
+++ b/pistachiolane/src/limits/demand.rs
@@ -0,0 +1,38 @@
+//! What an arriving attempt needs of a gate.
+
+use std::time::Duration;
+
+/// Share of the expected service time, as a divisor, without which a request would not end in time anyhow.
+const HOPELESS_DIVISOR: u32 = 2;
+
+record! {
+    /// What an arriving attempt needs.
+    #[derive(Copy)]
+    pub struct Demand {
+        /// Time left for the call.
+        pub remaining: Duration,
+        /// Time left within which an answer has its full value.
+        pub target: Duration,
+        /// Time that the request is expected to take; zero if unknown.
+        pub expected: Duration,
+        /// Whether it may wait for a slot.
+        pub may_queue: bool,
+    }
+}
+
+impl Demand {
+    /// A request of which only the time left is known.
+    pub fn new(remaining: Duration, may_queue: bool) -> Self {
+        Self { remaining, target: remaining, expected: Duration::ZERO, may_queue }
+    }
+
+    /// Longest wait after which the request may still be answered before its time is over.
+    pub fn longest_wait(&self) -> Option<Duration> {
+        self.remaining.checked_sub(self.expected / HOPELESS_DIVISOR)
+    }
+
+    /// Longest wait after which the answer is expected within the target; `None` if it is late already.
+    pub fn on_time_wait(&self) -> Option<Duration> {
+        self.target.checked_sub(self.expected)
+    }
+}
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -1,7 +1,7 @@
 //! Admission of one gate: who runs, who waits, who is refused.
 
 use {
-    super::{AdaptiveLimit, Slots},
+    super::{AdaptiveLimit, Demand, Slots},
     crate::{
         schema::{GateState, LoadReport},
         tick::Tick,
@@ -22,6 +22,9 @@
 /// Time during which an upstream that came up or recovered is reported as warming.
 const WARMING_TIME: Duration = Duration::from_secs(3);
 
+/// Share of the slots in percent that requests may fill which will end late.
+const LATE_PERCENT: u32 = 70;
+
 /// Time for which an upstream's account of its slowness is believed; neighbours change it several times a second.
 const SLOWNESS_LIFE: Duration = Duration::from_millis(150);
 
@@ -145,25 +148,39 @@
         self.draining.load(Ordering::SeqCst)
     }
 
-    /// Decides on an attempt with `remaining` time; a slot or a queue place is taken at once.
+    /// Decides on an attempt of which only the time left is known; as [`Gate::admit`].
     pub fn arrive(&self, remaining: Duration, may_queue: bool) -> Arrival {
+        self.admit(&Demand::new(remaining, may_queue))
+    }
+
+    /// Decides on an attempt; a slot or a queue place is taken at once.
+    ///
+    /// What cannot end in time is refused. What would end late gets only slots that are to spare, and does
+    /// not wait: those who can still be served on time go first.
+    pub fn admit(&self, demand: &Demand) -> Arrival {
         if self.is_draining() {
             return Arrival::Refuse(RefusalReason::Draining);
         }
         if !self.present.load(Ordering::SeqCst) {
             return Arrival::Refuse(RefusalReason::NotHere);
         }
-        if remaining.is_zero() {
+        let Some(longest_wait) = demand.longest_wait().filter(|_| !demand.remaining.is_zero())
+        else {
             return Arrival::Refuse(RefusalReason::Expired);
-        }
+        };
         let queued = self.queued.load(Ordering::SeqCst);
-        if queued == 0 && self.try_take_slot() {
+        let late = demand.on_time_wait().is_none();
+        let spare = !late || self.slots.running() < self.limit.get() * LATE_PERCENT / 100;
+        if queued == 0 && spare && self.try_take_slot() {
             return Arrival::Run;
         }
-        if !may_queue {
+        if !demand.may_queue {
             return Arrival::Refuse(RefusalReason::Busy);
         }
-        if self.expected_wait(queued + 1) > remaining {
+        let Some(on_time_wait) = demand.on_time_wait() else {
+            return Arrival::Refuse(RefusalReason::QueueFull);
+        };
+        if self.expected_wait(queued + 1) > on_time_wait.min(longest_wait) {
             return Arrival::Refuse(RefusalReason::QueueFull);
         }
         let bound = self.queue_bound() * SHED_FACTOR;
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -2,10 +2,12 @@
 
 mod adaptive_limit;
 mod average;
+mod demand;
 mod gate;
 mod platform_share;
 mod quantile;
 mod retry_budget;
+mod service_times;
 mod slots;
 mod token_bucket;
 mod wait_queue;
@@ -13,11 +15,13 @@
 pub use {
     adaptive_limit::AdaptiveLimit,
     average::Average,
+    demand::Demand,
     gate::{Arrival, Gate, RefusalReason},
     platform_share::{MILLI, WATCHERS_PER_REGION, platform_budget, platform_share},
     quantile::Quantile,
     retry_budget::RetryBudget,
+    service_times::ServiceTimes,
     slots::Slots,
     token_bucket::TokenBucket,
-    wait_queue::{Line, Queued, WaitQueue},
+    wait_queue::{Line, Queued, StartBy, WaitQueue},
 };
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -1,4 +1,5 @@
-//! The queue of a gate: fair between callers' services, first come first served within one.
+//! The queue of a gate: by priority, fair between callers' services, first come first served within one as
+//! long as that is on time.
 
 use {
     super::Gate,
@@ -29,10 +30,25 @@
     pub caller: Arc<str>,
 }
 
+/// Latest starts of a waiting attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartBy {
+    /// Start after which it cannot end in time; it is then not run.
+    pub deadline: Tick,
+    /// Start after which its answer comes late; others go before it.
+    pub on_time: Tick,
+}
+
+impl From<Tick> for StartBy {
+    fn from(deadline: Tick) -> Self {
+        Self { deadline, on_time: deadline }
+    }
+}
+
 #[derive(Debug)]
 struct Waiter<T> {
     item: T,
-    deadline: Tick,
+    start_by: StartBy,
 }
 
 /// Waiting attempts, one line for each calling service, served in turn.
@@ -52,8 +68,9 @@
 
 impl<T> WaitQueue<T> {
     /// Adds an item for which [`Gate::arrive`] took a place.
-    pub fn push(&mut self, line: Line, deadline: Tick, item: T) {
-        self.lines.entry(line).or_default().push_back(Waiter { item, deadline });
+    pub fn push(&mut self, line: Line, start_by: impl Into<StartBy>, item: T) {
+        let waiter = Waiter { item, start_by: start_by.into() };
+        self.lines.entry(line).or_default().push_back(waiter);
     }
 
     /// Items waiting.
@@ -80,23 +97,40 @@
             return self.remove_newest_of_longest().map(Queued::Shed);
         }
         loop {
+            if let Some((line, at)) = self.find_over(now, &is_gone) {
+                let waiter = self.remove(&line, at)?;
+                gate.leave_queue();
+                if is_gone(&waiter.item) {
+                    continue;
+                }
+                return Some(Queued::Expired(waiter.item));
+            }
             let line = self.next_line()?;
-            let head = self.lines.get(&line)?.front()?;
-            let gone = is_gone(&head.item);
-            let expired = head.deadline <= now;
-            if !gone && !expired && !gate.try_take_slot() {
+            if !gate.try_take_slot() {
                 return None;
             }
-            let item = self.remove_head(&line)?;
+            let at = self.first_on_time(&line, now);
+            let waiter = self.remove(&line, at)?;
             gate.leave_queue();
-            match gone {
-                true => {}
-                false if expired => return Some(Queued::Expired(item)),
-                false => return Some(Queued::Run(item)),
-            }
+            self.turn = Some(line);
+            return Some(Queued::Run(waiter.item));
         }
     }
 
+    /// A waiter whose caller left or whose time is over.
+    fn find_over(&self, now: Tick, is_gone: impl Fn(&T) -> bool) -> Option<(Line, usize)> {
+        self.lines.iter().find_map(|(line, waiters)| {
+            let over = |w: &Waiter<T>| w.start_by.deadline <= now || is_gone(&w.item);
+            waiters.iter().position(over).map(|at| (line.clone(), at))
+        })
+    }
+
+    /// The first of a line that can still be on time, or else the first.
+    fn first_on_time(&self, line: &Line, now: Tick) -> usize {
+        let waiters = self.lines.get(line);
+        waiters.and_then(|w| w.iter().position(|w| w.start_by.on_time > now)).unwrap_or(0)
+    }
+
     /// Removes everything, as when the gate loses its upstream.
     pub fn drain(&mut self, gate: &Gate) -> Vec<T> {
         let lines = std::mem::take(&mut self.lines);
@@ -130,13 +164,12 @@
         Some(after.unwrap_or(first).clone())
     }
 
-    fn remove_head(&mut self, line: &Line) -> Option<T> {
+    fn remove(&mut self, line: &Line, at: usize) -> Option<Waiter<T>> {
         let waiters = self.lines.get_mut(line)?;
-        let waiter = waiters.pop_front()?;
+        let waiter = waiters.remove(at)?;
         if waiters.is_empty() {
             self.lines.remove(line);
         }
-        self.turn = Some(line.clone());
-        Some(waiter.item)
+        Some(waiter)
     }
 }
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -288,6 +288,7 @@
         let shared = &self.driver.shared;
         let connection = Arc::new(AtomicU64::new(0));
         let budget = self.spec.deadline.since(shared.now()).saturating_sub(candidate.link());
+        let target = self.spec.target.since(shared.now()).saturating_sub(candidate.link());
         let attempt = AttemptHeader {
             id,
             gate: candidate.member.node,
@@ -296,6 +297,8 @@
             repeatable: self.spec.kind == WorkKind::Idempotent,
             may_queue,
             priority: self.spec.priority,
+            class: self.spec.class,
+            target_us: crate::tick::micros(target),
             service: Arc::clone(&self.table.name),
             caller: Arc::clone(&self.caller),
         };
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -298,6 +298,7 @@
         log::info!(
             target: "entry", request = id, route = &*treatment.route, service = &*treatment.service,
             settings = treatment.version, outcome, reason, status,
+            priority = treatment.priority,
             elapsed_ms = now.since(started).as_millis() as u64,
             budget_ms = spec.deadline.since(started).as_millis() as u64;
             "call ended"
@@ -338,6 +339,8 @@
             hedge: treatment.hedge,
             replayable: matches!(body, OutgoingBody::Whole(_)),
             max_attempts: treatment.max_attempts,
+            target: started + treatment.target_latency.min(budget),
+            class: treatment.class,
             priority: treatment.priority,
         };
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         attempt::{Received, Ticket},
-        limits::{Line, RefusalReason},
+        limits::{Line, RefusalReason, StartBy},
         metrics::Metrics,
         schema::{Announcement, AttemptHeader, FleetKey, WireError},
         tick::Tick,
@@ -244,7 +244,7 @@
         let waiting = WaitGuard { shared: Arc::clone(shared), ticket };
         let slot = match slot {
             Some(slot) => slot,
-            None => match self.wait(&attempt, deadline).await {
+            None => match self.wait(&attempt, waiting.ticket.start_by).await {
                 Ok(slot) => slot,
                 Err(reason) => return self.refuse(&attempt, reason),
             },
@@ -260,11 +260,11 @@
     async fn wait(
         &self,
         attempt: &AttemptHeader,
-        deadline: Tick,
+        start_by: StartBy,
     ) -> Result<SlotGuard, RefusalReason> {
         let (reply, verdict) = oneshot::channel();
         let line = Line { priority: attempt.priority, caller: Arc::clone(&attempt.caller) };
-        self.shared.queue.push(QueueItem { line, deadline, reply });
+        self.shared.queue.push(QueueItem { line, start_by, reply });
         match verdict.await {
             Ok(QueueVerdict::Run(slot)) => Ok(slot),
             Ok(QueueVerdict::Refused(reason)) => Err(reason),
@@ -298,6 +298,7 @@
                     Judged::Answer => {
                         let failed = res.status().is_server_error();
                         gate.observe(shared.now(), elapsed, !failed);
+                        shared.admission.times.record(attempt.class, elapsed);
                         self.pass_on(guard, back, attempt, deadline, res).await
                     }
                     Judged::NotRun(reason) => {
--- a/pistachiolane/src/node/queue_task.rs
+++ b/pistachiolane/src/node/queue_task.rs
@@ -2,10 +2,7 @@
 
 use {
     super::shared::Shared,
-    crate::{
-        limits::{Line, Queued, RefusalReason, WaitQueue},
-        tick::Tick,
-    },
+    crate::limits::{Line, Queued, RefusalReason, StartBy, WaitQueue},
     std::sync::Arc,
     tokio::{
         sync::{Notify, mpsc, oneshot},
@@ -30,8 +27,8 @@
 pub struct QueueItem {
     /// Line that it waits in.
     pub line: Line,
-    /// Time after which it is not run.
-    pub deadline: Tick,
+    /// Latest starts.
+    pub start_by: StartBy,
     /// Where the verdict goes; closed when the attempt was cancelled.
     pub reply: oneshot::Sender<QueueVerdict>,
 }
@@ -85,7 +82,7 @@
     loop {
         tokio::select! {
             item = items.recv() => match item {
-                Some(item) => queue.push(item.line.clone(), item.deadline, item),
+                Some(item) => queue.push(item.line.clone(), item.start_by, item),
                 None => return,
             },
             () = shared.queue.wake.notified() => {}
--- a/pistachiolane/src/node/treatment.rs
+++ b/pistachiolane/src/node/treatment.rs
@@ -5,7 +5,11 @@
     crate::config::{Limits, Route, SettingsTree},
     hyper::http::request::Parts,
     rand::RngExt,
-    std::sync::Arc,
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Upstreams that may run a request of a service without routes: the budget of retries bounds it.
@@ -28,6 +32,10 @@
     pub hedge: bool,
     /// Upstreams that may run it.
     pub max_attempts: u32,
+    /// Time within which an answer has its full value.
+    pub target_latency: Duration,
+    /// Class of requests that take about as long.
+    pub class: u32,
     /// Rank under overload; 0 is served first.
     pub priority: u8,
 }
@@ -56,6 +64,8 @@
             retry_percent: shared.tunables.load().retry_percent,
             hedge: true,
             max_attempts: route.max_attempts,
+            target_latency: route.target_latency,
+            class: class(&route.name),
             priority: route.priority,
         })
     }
@@ -72,7 +82,16 @@
             retry_percent: settings.retry_percent,
             hedge: settings.hedge,
             max_attempts: ATTEMPTS_WITHOUT_ROUTE,
+            target_latency: Duration::MAX,
+            class: class(name),
             priority: 0,
         })
     }
 }
+
+/// Requests of one route are of one class.
+fn class(name: &str) -> u32 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish() as u32
+}
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -46,6 +46,8 @@
             hedge: true,
             replayable: true,
             max_attempts: 3,
+            target: Tick(u64::MAX),
+            class: 0,
             priority: 0,
         };
         Self {
@@ -161,6 +163,8 @@
             hedge: true,
             replayable: true,
             max_attempts: 3,
+            target: Tick(u64::MAX),
+            class: 0,
             priority: 0,
         };
         bench.call = Call::new(spec);
@@ -184,6 +188,8 @@
         hedge: true,
         replayable: true,
         max_attempts: 3,
+        target: Tick(u64::MAX),
+        class: 0,
         priority: 0,
     };
     bench.call = Call::new(spec);
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -3,8 +3,8 @@
 use {
     pistachiolane::{
         limits::{
-            AdaptiveLimit, Arrival, Gate, Line, Queued, RefusalReason, RetryBudget, TokenBucket,
-            WATCHERS_PER_REGION, WaitQueue, platform_budget, platform_share,
+            AdaptiveLimit, Arrival, Demand, Gate, Line, Queued, RefusalReason, RetryBudget,
+            StartBy, TokenBucket, WATCHERS_PER_REGION, WaitQueue, platform_budget, platform_share,
         },
         schema::GateState,
         tick::Tick,
@@ -224,3 +224,71 @@
     }
     assert!(limit.get() < 12, "limit {}", limit.get());
 }
+
+fn demand(remaining_ms: u64, target_ms: u64, expected_ms: u64) -> Demand {
+    let ms = Duration::from_millis;
+    Demand {
+        remaining: ms(remaining_ms),
+        target: ms(target_ms),
+        expected: ms(expected_ms),
+        may_queue: true,
+    }
+}
+
+/// A burst: what cannot end in time is refused at once, also while slots are free.
+#[test]
+fn admit_hopeless() {
+    let gate = gate(10);
+    let hopeless = gate.admit(&demand(40, 0, 100));
+    assert_eq!(hopeless, Arrival::Refuse(RefusalReason::Expired));
+    assert_eq!(gate.admit(&demand(60, 60, 100)), Arrival::Run);
+}
+
+/// A burst with callers that return late: they fill only what is to spare, and do not wait.
+#[test]
+fn admit_late_callers_leave_room() {
+    let gate = gate(10);
+    let late = demand(1_000, 50, 100);
+    let ran = (0..10).filter(|_| gate.admit(&late) == Arrival::Run).count();
+    assert_eq!(ran, 7);
+    let on_time = demand(1_000, 500, 100);
+    let ran = (0..10).filter(|_| gate.admit(&on_time) == Arrival::Run).count();
+    assert_eq!(ran, 3);
+}
+
+/// A queue in a burst: who can still be on time goes before who cannot, who goes before nobody.
+#[test]
+fn queue_on_time_first() {
+    let gate = gate(2);
+    assert_eq!(gate.arrive(SECOND, true), Arrival::Run);
+    assert_eq!(gate.arrive(SECOND, true), Arrival::Run);
+    let mut queue = WaitQueue::default();
+    for (item, on_time) in [(1, Tick(10)), (2, Tick(100)), (3, Tick(100))] {
+        assert_eq!(gate.arrive(SECOND, true), Arrival::Queue);
+        queue.push(line(""), StartBy { deadline: Tick(1_000), on_time }, item);
+    }
+    let mut order = Vec::new();
+    while !queue.is_empty() {
+        gate.finish();
+        if let Some(Queued::Run(item)) = queue.next(Tick(50), &gate, |_| false) {
+            order.push(item);
+        }
+    }
+    assert_eq!(order, [2, 3, 1]);
+}
+
+/// Overload by several kinds of work: the most urgent priority runs first, and the least urgent gives way.
+#[test]
+fn queue_by_priority() {
+    let gate = gate(1);
+    assert_eq!(gate.arrive(SECOND, true), Arrival::Run);
+    let mut queue = WaitQueue::default();
+    for (item, priority) in [(1, 2), (2, 1), (3, 2)] {
+        assert_eq!(gate.arrive(SECOND, true), Arrival::Queue);
+        let line = Line { priority, caller: Arc::from("") };
+        queue.push(line, Tick(1_000), item);
+    }
+    assert_eq!(queue.next(Tick(5), &gate, |_| false), Some(Queued::Shed(3)));
+    gate.finish();
+    assert_eq!(queue.next(Tick(5), &gate, |_| false), Some(Queued::Run(2)));
+}
