--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -342,7 +342,7 @@
 }
 
 /// Four free addresses; the control address is free for TCP and UDP.
-async fn free_addresses() -> std::io::Result<NodeAddresses> {
+pub async fn free_addresses() -> std::io::Result<NodeAddresses> {
     let mut ports = Vec::new();
     let mut held = Vec::new();
     while ports.len() < 4 {
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -2,9 +2,11 @@
 
 mod http_server;
 mod platform;
+mod platform_upstream;
 mod upstream;
 
 pub use {
     platform::{CallCounts, PlatformFaults, PlatformStandIn},
+    platform_upstream::{Arrived, ID, PlatformUpstream},
     upstream::{REQUEST_ID, UpstreamBehaviour, UpstreamStandIn},
 };
--- a/lab/src/stand_in/platform.rs
+++ b/lab/src/stand_in/platform.rs
@@ -115,6 +115,13 @@
         Ok(address)
     }
 
+    /// Writes an object as the platform's operator does, whatever stands there.
+    pub fn operate(&self, kind: &str, name: &str, spec: Value) {
+        let there = self.store().objects.contains_key(&(kind.to_owned(), name.to_owned()));
+        let write = if there { Write::Replace { expected: None } } else { Write::Create };
+        self.apply(kind, name, write, spec);
+    }
+
     /// Calls taken so far.
     pub fn counts(&self) -> CallCounts {
         CallCounts {
--- /dev/null
+++ b/lab/tests/platform.rs
@@ -0,0 +1,395 @@
+//! A node on the users' platform, over real sockets: configuration, callers, and an upstream that misbehaves.
+
+use {
+    hyper::Method,
+    lab::{
+        fleet::{free_addresses, loopback},
+        http::HttpClient,
+        stand_in::{ID, PlatformStandIn, PlatformUpstream},
+    },
+    pistachiolane::{
+        node::{self, RunningNode},
+        settings::{ProcessSettings, SettingsSource},
+    },
+    serde_json::{Value, json},
+    std::{net::SocketAddr, sync::Arc, sync::atomic::Ordering, time::Duration},
+    test_case::test_case,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+        time::{Instant, sleep},
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time for a state to come about.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+struct Site {
+    store: Arc<PlatformStandIn>,
+    node: RunningNode,
+    upstream: Arc<PlatformUpstream>,
+    upstream_address: SocketAddr,
+    listen: SocketAddr,
+    ready: SocketAddr,
+    announce: SocketAddr,
+    http: HttpClient,
+}
+
+fn configuration(version: &str, host: &str) -> Value {
+    let columns = [
+        "name",
+        "host",
+        "path_prefix",
+        "route_type",
+        "timeout_s",
+        "target_latency_s",
+        "priority",
+        "service",
+        "max_attempts",
+        "traffic_split",
+    ];
+    json!({
+        "version": version,
+        "routes": { "columns": columns, "rows": [
+            ["orders", host, "/orders/", "non_idempotent", 1.5, 0.5, 1, "huvo", 2, null],
+            ["sizing", host, "/sizing/", "idempotent", 1.5, 0.5, 1, "huvo", 2, null],
+        ] },
+        "services": { "columns": ["name", "max_connections"], "rows": [["huvo", 260]] },
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_s": 3,
+            "idle_timeout_s": 15 },
+    })
+}
+
+async fn start(store: Arc<PlatformStandIn>) -> Site {
+    let store_address = store.start(loopback(0), CancellationToken::new()).await.unwrap();
+    let (upstream, upstream_address) = PlatformUpstream::start("i-1").await.unwrap();
+    let own = free_addresses().await.unwrap();
+    let more = free_addresses().await.unwrap();
+    let flag = |name: &str| {
+        Some(match name {
+            "interface" => "platform".to_owned(),
+            "listen" => own.listen.to_string(),
+            "gate-listen" => own.gate.to_string(),
+            "control-listen" => own.control.to_string(),
+            "admin-listen" => own.admin.to_string(),
+            "ready-listen" => more.listen.to_string(),
+            "announce-listen" => more.gate.to_string(),
+            "platform" => format!("http://{store_address}"),
+            "service" => "huvo".to_owned(),
+            "heartbeat" => "60".to_owned(),
+            _ => return None,
+        })
+    };
+    let source = SettingsSource { flag: &flag, env: &|_| None, derived: &|_| None };
+    let settings = ProcessSettings::new(&source).unwrap();
+    let integration = platform::integration(&settings);
+    let node = node::run(settings, integration).await.unwrap();
+    Site {
+        store,
+        node,
+        upstream,
+        upstream_address,
+        listen: own.listen,
+        ready: more.listen,
+        announce: more.gate,
+        http: HttpClient::new(),
+    }
+}
+
+/// A node with a configuration and an upstream that is ready.
+async fn site() -> Site {
+    let store = PlatformStandIn::new();
+    store.operate("config", "main", configuration("r7", "shop.example"));
+    let site = start(store).await;
+    assert_eq!(site.beat("i-1", "ready", 1, 100).await, 200);
+    site.until("ready", async || site.readiness().await == 200).await;
+    site
+}
+
+impl Site {
+    async fn until(&self, what: &str, mut done: impl AsyncFnMut() -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !done().await {
+            assert!(Instant::now() < until, "not in time: {what}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn readiness(&self) -> u16 {
+        let uri = format!("http://{}/pistachiolane/readiness", self.ready);
+        self.http.send_json(Method::GET, &uri, &Value::Null).await.unwrap().head.status().as_u16()
+    }
+
+    async fn beat(&self, instance: &str, state: &str, seq: u64, born: u64) -> u16 {
+        let body = json!({ "service": "huvo", "address": self.upstream_address, "zone": "a",
+            "version": "v1", "slots": 10, "state": state, "warmup_left_s": 0, "seq": seq, "born": born });
+        self.tell(instance, "heartbeat", &body).await
+    }
+
+    async fn tell(&self, instance: &str, what: &str, body: &Value) -> u16 {
+        let uri = format!("http://{}/pistachiolane/instances/{instance}/{what}", self.announce);
+        self.http.send_json(Method::POST, &uri, body).await.unwrap().head.status().as_u16()
+    }
+
+    /// Sends raw bytes on a connection of their own and reads until it closes.
+    async fn raw(&self, text: &str) -> String {
+        let mut socket = TcpStream::connect(self.listen).await.unwrap();
+        socket.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        // A cut answer ends with an error; what came before counts.
+        let _cut = socket.read_to_end(&mut answer).await;
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+
+    async fn call(&self, method: &str, path: &str, id: &str) -> String {
+        self.raw(&request(method, path, id, "connection: close\r\n")).await
+    }
+}
+
+fn request(method: &str, path: &str, id: &str, more: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\n{ID}: {id}\r\n\
+         x-pistachiolane-deadline-ms: 1200\r\n{more}\r\n"
+    )
+}
+
+fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+}
+
+/// A node that knows no configuration yet can't tell that a route is missing.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_before_the_first_configuration() {
+    let site = start(PlatformStandIn::new()).await;
+    assert_eq!(site.beat("i-1", "ready", 1, 100).await, 200);
+    assert_eq!(status(&site.call("GET", "/sizing/ok", "a1").await), 503);
+    assert_eq!(site.readiness().await, 503);
+    site.store.operate("config", "main", configuration("r1", "shop.example"));
+    site.until("ready", async || site.readiness().await == 200).await;
+    assert_eq!(status(&site.call("GET", "/sizing/ok", "a2").await), 200);
+    assert_eq!(status(&site.call("GET", "/nothing/ok", "a3").await), 404);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_headers() {
+    let site = site().await;
+    let forged = "x-pistachiolane-caller-service: forged\r\nx-pistachiolane-expect-instance: i-9\r\n\
+        x-own: kept\r\nconnection: close, x-hop\r\nx-hop: dropped\r\n";
+    let answer = site.raw(&request("GET", "/sizing/ok?q=1", "a1", forged)).await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(answer.contains("x-pistachiolane-response-signature: a1.s"), "{answer}");
+    assert!(answer.ends_with("answer to a1"), "{answer}");
+    let ran = site.upstream.ran();
+    let [one] = ran.as_slice() else { panic!("{ran:?}") };
+    assert_eq!(one.line, "GET /sizing/ok?q=1");
+    let header = |name: &str| one.headers.get(name).map_or("", String::as_str);
+    assert_eq!(header(ID), "a1");
+    assert_eq!(header("x-pistachiolane-caller-service"), "huvo");
+    assert_eq!(header("x-pistachiolane-expect-instance"), "i-1");
+    assert_eq!((header("x-own"), header("x-hop")), ("kept", ""));
+    assert_eq!(header("host"), "shop.example");
+    let left: u64 = header("x-pistachiolane-deadline-ms").parse().unwrap();
+    assert!((1..=1_200).contains(&left), "{left}");
+}
+
+/// Work that must not repeat: whatever becomes of its answer, it ran once, and nobody is told that it did not.
+#[test_case("foreign"; "an answer to another request")]
+#[test_case("unsigned"; "an answer without a signature")]
+#[test_case("cut"; "an answer cut short")]
+#[test_case("reset"; "no answer")]
+#[tokio::test(flavor = "multi_thread")]
+async fn order_with_a_bad_answer(action: &str) {
+    let site = site().await;
+    let answer = site.call("POST", &format!("/orders/{action}"), "a1").await;
+    assert!(matches!(status(&answer), 502 | 504), "{answer}");
+    assert!(!answer.contains("another's") && !answer.contains("bare"), "{answer}");
+    assert_eq!(site.upstream.ran().len(), 1);
+    // The connection that carried it is not used again.
+    assert_eq!(status(&site.call("POST", "/orders/ok", "a2").await), 200);
+    assert_eq!(site.upstream.connections.load(Ordering::SeqCst), 2);
+}
+
+/// A second answer meets no request.
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_given_twice() {
+    let site = site().await;
+    for n in 0..5 {
+        let id = format!("a{n}");
+        let answer = site.call("POST", "/orders/extra", &id).await;
+        let own = status(&answer) == 200 && answer.ends_with(&format!("answer to {id}"));
+        assert!(own || matches!(status(&answer), 502 | 504), "{answer}");
+    }
+    let ran: Vec<String> = site.upstream.ran().iter().map(|r| r.headers[ID].clone()).collect();
+    assert_eq!(ran, ["a0", "a1", "a2", "a3", "a4"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn answer_without_length() {
+    let site = site().await;
+    let answer = site.call("GET", "/sizing/unframed", "a1").await;
+    assert_eq!(status(&answer), 200, "{answer}");
+    assert!(answer.contains("body"), "{answer}");
+}
+
+/// An upstream that turns work away: it did not run, and the caller hears when to come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn order_shed_by_the_upstream() {
+    let site = site().await;
+    let answer = site.call("POST", "/orders/shed", "a1").await;
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(answer.contains("retry-after: "), "{answer}");
+    assert!(site.upstream.ran().is_empty());
+}
+
+#[test_case("heartbeat", json!("draining"); "it says that it drains")]
+#[test_case("deregister", json!("ready"); "it says farewell without draining")]
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_upstream_gets_nothing(what: &str, state: Value) {
+    let site = site().await;
+    let body = json!({ "service": "huvo", "address": site.upstream_address, "zone": "a", "version": "v1",
+        "slots": 10, "state": state, "warmup_left_s": 0, "seq": 2, "born": 100 });
+    assert_eq!(site.tell("i-1", what, &body).await, 200);
+    assert_eq!(status(&site.call("POST", "/orders/ok", "a1").await), 503);
+    // A heartbeat that was on its way does not bring it back.
+    site.beat("i-1", "ready", 3, 100).await;
+    assert_eq!(status(&site.call("GET", "/sizing/ok", "a2").await), 503);
+    assert!(site.upstream.ran().is_empty());
+}
+
+/// Another upstream has the address of one that is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn address_of_another_upstream() {
+    let site = site().await;
+    assert_eq!(site.beat("i-2", "ready", 1, 200).await, 200);
+    let answer = site.call("POST", "/orders/ok", "a1").await;
+    assert_eq!(status(&answer), 503, "{answer}");
+    assert!(site.upstream.ran().is_empty());
+}
+
+/// A version that is older than the one in force changes nothing, whoever brings it.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_never_reverts() {
+    let site = site().await;
+    site.store.operate("config", "main", configuration("r9", "other.example"));
+    let gone = async || status(&site.call("GET", "/sizing/ok", "a").await) == 404;
+    site.until("the newer version", gone).await;
+    site.store.operate("config", "main", configuration("r8", "shop.example"));
+    // A later version shows that the older one has been seen and passed over.
+    let mut later = configuration("r10", "other.example");
+    later["routes"]["rows"][0][1] = json!("late.example");
+    site.store.operate("config", "main", later);
+    let late = "GET /orders/ok HTTP/1.1\r\nhost: late.example\r\nconnection: close\r\n\r\n";
+    site.until("the last version", async || status(&site.raw(late).await) == 200).await;
+    assert_eq!(status(&site.call("GET", "/sizing/ok", "a").await), 404);
+}
+
+/// The store forgets its history, and the node lists again.
+#[tokio::test(flavor = "multi_thread")]
+async fn configuration_after_lost_history() {
+    let site = site().await;
+    site.store.faults.history_from.store(u64::MAX, Ordering::Relaxed);
+    site.store.operate("config", "main", configuration("r9", "other.example"));
+    site.store.operate("config", "main", configuration("r11", "third.example"));
+    let third = "GET /sizing/ok HTTP/1.1\r\nhost: third.example\r\nconnection: close\r\n\r\n";
+    site.until("the newest version", async || status(&site.raw(third).await) == 200).await;
+}
+
+/// Requests behind the one in service begin at once, and their answers keep the order.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_lookups_run_together() {
+    let site = site().await;
+    let mut socket = TcpStream::connect(site.listen).await.unwrap();
+    let slow = request("GET", "/sizing/slow", "a1", "");
+    let text =
+        slow + &request("GET", "/sizing/ok", "a2", "") + &request("GET", "/sizing/ok", "a3", "");
+    socket.write_all(text.as_bytes()).await.unwrap();
+    site.until("all three at the upstream", async || site.upstream.ran().len() >= 3).await;
+    let mut answer = Vec::new();
+    while !String::from_utf8_lossy(&answer).contains("answer to a3") {
+        assert_ne!(socket.read_buf(&mut answer).await.unwrap(), 0, "closed early");
+    }
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    assert_eq!(status(&text), 504, "{text}");
+    assert!(text.find("answer to a2").unwrap() < text.find("answer to a3").unwrap());
+}
+
+/// Orders are not begun before their turn.
+#[tokio::test(flavor = "multi_thread")]
+async fn pipelined_order_waits_for_its_turn() {
+    let site = site().await;
+    let mut socket = TcpStream::connect(site.listen).await.unwrap();
+    let text =
+        request("GET", "/sizing/slow", "a1", "") + &request("DELETE", "/orders/ok", "a2", "");
+    socket.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    while !String::from_utf8_lossy(&answer).contains("HTTP/1.1 504") {
+        assert_eq!(site.upstream.ran().iter().filter(|r| r.line.contains("orders")).count(), 0);
+        assert_ne!(socket.read_buf(&mut answer).await.unwrap(), 0, "closed early");
+    }
+    site.until("the order", async || site.upstream.ran().len() >= 2).await;
+}
+
+/// A caller that leaves cancels its work, also with another request behind it.
+#[test_case(""; "one request")]
+#[test_case("GET /sizing/ok HTTP/1.1\r\nhost: shop.example\r\n\r\n"; "a request behind it")]
+#[test_case("GET /sizing/ok HT"; "half a request behind it")]
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_leaves(behind: &str) {
+    let site = site().await;
+    let mut socket = TcpStream::connect(site.listen).await.unwrap();
+    let text = request("GET", "/sizing/slow", "a1", "") + behind;
+    socket.write_all(text.as_bytes()).await.unwrap();
+    site.until("it runs", async || !site.upstream.ran().is_empty()).await;
+    drop(socket);
+    // The route's own timeout would end it later than this.
+    let until = Instant::now() + Duration::from_millis(500);
+    while site.upstream.cancelled.load(Ordering::SeqCst) == 0 {
+        assert!(Instant::now() < until, "work goes on without its caller");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// A body that stalls is refused as not run, and the connection closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_stalls() {
+    let site = site().await;
+    let text = request("POST", "/orders/ok", "a1", "content-length: 4000\r\n") + "abc";
+    let answer = site.raw(&text).await;
+    assert_eq!(status(&answer), 408, "{answer}");
+    assert!(site.upstream.ran().is_empty());
+}
+
+/// Settings are taken anew without touching a request.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_reloaded() {
+    let site = site().await;
+    let mut settings = site.node.shared().settings.clone();
+    settings.tunables.retry_percent = 33;
+    site.node.reload("signal", &settings);
+    assert_eq!(site.node.shared().tunables.load().retry_percent, 33);
+    assert_eq!(status(&site.call("GET", "/sizing/ok", "a1").await), 200);
+}
+
+/// A planned stop: not ready at once, callers served meanwhile, nothing cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_is_graceful() {
+    let site = site().await;
+    let Site { node, ready, http, listen, .. } = site;
+    let running = tokio::spawn(async move {
+        let mut socket = TcpStream::connect(listen).await.unwrap();
+        let text = request("GET", "/nothing/here", "a1", "");
+        socket.write_all(text.as_bytes()).await.unwrap();
+        let mut answer = [0; 12];
+        socket.read_exact(&mut answer).await.unwrap();
+        String::from_utf8_lossy(&answer).into_owned()
+    });
+    let stopping = tokio::spawn(node.stop(Duration::from_secs(5)));
+    let uri = format!("http://{ready}/pistachiolane/readiness");
+    let until = Instant::now() + PATIENCE;
+    while http.send_json(Method::GET, &uri, &Value::Null).await.unwrap().head.status() != 503 {
+        assert!(Instant::now() < until, "still ready");
+    }
+    assert_eq!(running.await.unwrap(), "HTTP/1.1 404");
+    assert!(stopping.await.unwrap());
+}
--- a/pistachiolane/src/cli/mod.rs
+++ b/pistachiolane/src/cli/mod.rs
@@ -5,10 +5,12 @@
 mod args;
 mod commands;
 mod exit;
+mod line_queue;
+mod log_line;
 mod logging;
 mod node_options;
 mod node_process;
 mod output;
 mod run;
 
-pub use {adapter::Adapter, exit::Exit, run::run};
+pub use {adapter::Adapter, exit::Exit, line_queue::LineQueue, run::run};
--- a/pistachiolane/src/node/caller_socket.rs
+++ b/pistachiolane/src/node/caller_socket.rs
@@ -139,12 +139,12 @@
                 return;
             };
             match seen {
-                Seen::Request { length, head } => {
+                Ok((length, head)) => {
                     self.scanned += length;
                     self.lengths.push_back(length);
                     self.heads.push_back(head);
                 }
-                Seen::Opaque => self.opaque = true,
+                Err(Opaque) => self.opaque = true,
             }
         }
     }
@@ -170,12 +170,11 @@
     }
 }
 
-enum Seen {
-    /// A request: bytes of head and body together.
-    Request { length: u64, head: Head },
-    /// Something whose end is not known here.
-    Opaque,
-}
+/// Something whose end is not known here.
+struct Opaque;
+
+/// Length of a request, head and body together, and its head.
+type Seen = Result<(u64, Head), Opaque>;
 
 /// Looks at the head at the start of `bytes`; `None` if it is not complete.
 fn look(bytes: &[u8]) -> Option<Seen> {
@@ -184,13 +183,13 @@
     match parsed.parse(bytes) {
         Ok(httparse::Status::Partial) => None,
         Ok(httparse::Status::Complete(length)) => Some(seen(&parsed, length as u64)),
-        Err(_) => Some(Seen::Opaque),
+        Err(_) => Some(Err(Opaque)),
     }
 }
 
 fn seen(parsed: &httparse::Request<'_, '_>, head_length: u64) -> Seen {
     let Some(req) = request(parsed) else {
-        return Seen::Opaque;
+        return Err(Opaque);
     };
     let headers = req.headers();
     let ends = headers.get(header::CONNECTION).is_some_and(|v| v != "keep-alive");
@@ -198,12 +197,12 @@
         .map(|n| headers.contains_key(n));
     if ends || unclear.contains(&true) || headers.get_all(header::CONTENT_LENGTH).iter().count() > 1
     {
-        return Seen::Opaque;
+        return Err(Opaque);
     }
     match headers.get(header::CONTENT_LENGTH).map(|v| v.to_str().ok()?.parse::<u64>().ok()) {
-        None | Some(Some(0)) => Seen::Request { length: head_length, head: Some(req) },
-        Some(Some(body)) => Seen::Request { length: head_length + body, head: None },
-        Some(None) => Seen::Opaque,
+        None | Some(Some(0)) => Ok((head_length, Some(req))),
+        Some(Some(body)) => Ok((head_length.saturating_add(body), None)),
+        Some(None) => Err(Opaque),
     }
 }
 
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -189,13 +189,11 @@
         let started = shared.now();
         let id = request_id(shared, req.headers());
         let call = async {
-            match pipeline.begin(&req) {
-                Some(ahead) => ahead.answer().await.unwrap_or_else(lost_answer),
-                None => {
-                    let (parts, body) = req.into_parts();
-                    self.call(parts, Some(body), &id, started).await
-                }
+            if let Some(ahead) = pipeline.begin(&req) {
+                return ahead.answer().await.unwrap_or_else(lost_answer);
             }
+            let (parts, body) = req.into_parts();
+            self.call(parts, Some(body), &id, started).await
         };
         let mut res = tokio::select! {
             res = call => res,
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -82,6 +82,7 @@
     }
 
     /// Adds what a request and its answer carry.
+    #[must_use]
     pub fn with_bytes(self, bytes: f64) -> Self {
         Self { bytes, ..self }
     }
--- /dev/null
+++ b/pistachiolane/tests/routes.rs
@@ -0,0 +1,96 @@
+//! Routes by host and longest path prefix.
+
+use {
+    pistachiolane::{
+        config::{Holder, ROUTES, RouteTable, check_document},
+        schema::{RootDocument, RouteSettings, RouteTarget, RoutesDocument, Subtree, WorkKind},
+    },
+    test_case::test_case,
+};
+
+fn route(name: &str, host: &str, prefix: &str, targets: &[(&str, u32)]) -> RouteSettings {
+    RouteSettings {
+        name: name.into(),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: WorkKind::Idempotent,
+        timeout_ms: 1_000,
+        target_latency_ms: 300,
+        priority: 1,
+        max_attempts: 2,
+        targets: targets
+            .iter()
+            .map(|&(service, weight)| RouteTarget { service: service.into(), weight })
+            .collect(),
+    }
+}
+
+fn document(routes: Vec<RouteSettings>) -> RoutesDocument {
+    RoutesDocument { routes, ..RoutesDocument::default() }
+}
+
+#[test_case("shop", "/a/x", Some("short"); "prefix")]
+#[test_case("shop", "/a/b/x", Some("long"); "longest prefix")]
+#[test_case("shop", "/a/b/", Some("long"); "the prefix itself")]
+#[test_case("shop", "/a/bc/x", Some("short"); "a prefix ends at a slash")]
+#[test_case("shop", "/b/x", None; "no prefix")]
+#[test_case("mill", "/a/x", None; "other host")]
+#[test_case("cap", "/any", Some("root"); "host in capitals in the settings")]
+fn find(host: &str, path: &str, expected: Option<&str>) {
+    let table = RouteTable::new(&document(vec![
+        route("short", "shop", "/a/", &[("sizing", 1)]),
+        route("long", "shop", "/a/b/", &[("orders", 1)]),
+        route("root", "CAP", "/", &[("orders", 1)]),
+    ]));
+    assert_eq!(table.find(host, path).map(|r| r.name.as_ref()), expected);
+}
+
+#[test_case(0.0, "a"; "first")]
+#[test_case(0.89, "a"; "last of the first")]
+#[test_case(0.9, "b"; "second")]
+#[test_case(0.999_999, "b"; "end")]
+fn target_by_weight(draw: f64, expected: &str) {
+    let table = RouteTable::new(&document(vec![route(
+        "r",
+        "shop",
+        "/",
+        &[("a", 90), ("b", 10), ("c", 0)],
+    )]));
+    let target = table.find("shop", "/").unwrap().target(draw);
+    assert_eq!(target.unwrap().as_ref(), expected);
+}
+
+#[test_case(route("r", "shop", "/a", &[("a", 1)]), "routes/routes/0/prefix"; "no slash at the end")]
+#[test_case(route("r", "shop:80", "/", &[("a", 1)]), "routes/routes/0/host"; "port")]
+#[test_case(route("r", "shop", "/", &[("a", 0)]), "routes/routes/0/targets"; "no weight")]
+fn check_names_the_fault(bad: RouteSettings, path: &str) {
+    let text = serde_json::to_string(&document(vec![bad])).unwrap();
+    let faults = check_document(ROUTES, &text, &RootDocument::default()).unwrap_err();
+    assert!(faults.iter().any(|f| f.path == path), "{faults:?}");
+}
+
+#[test]
+fn check_twice_the_same() {
+    let twice = vec![route("r", "shop", "/", &[("a", 1)]), route("s", "SHOP", "/", &[("b", 1)])];
+    let text = serde_json::to_string(&document(twice)).unwrap();
+    assert!(check_document(ROUTES, &text, &RootDocument::default()).is_err());
+}
+
+/// A version that cannot be read leaves the node without routes rather than with half of them.
+#[test]
+fn holder_compiles_routes() {
+    let mut holder = Holder::default();
+    let text =
+        serde_json::to_string(&document(vec![route("r", "shop", "/", &[("a", 1)])])).unwrap();
+    let subtree = |version, document: &str| Subtree {
+        name: ROUTES.into(),
+        version,
+        change: String::new(),
+        document: document.to_owned(),
+    };
+    holder.apply(subtree(3, &text));
+    let tree = holder.compile();
+    assert_eq!((tree.routes_version(), tree.routes().unwrap().len()), (3, 1));
+    holder.apply(subtree(2, "{}"));
+    assert_eq!(holder.compile().routes_version(), 3);
+}
