--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -342,6 +342,9 @@
 }
 
 /// Four free addresses; the control address is free for TCP and UDP.
+///
+/// # Errors
+/// Fails when a socket cannot be bound for a reason other than its port.
 pub async fn free_addresses() -> std::io::Result<NodeAddresses> {
     let mut ports = Vec::new();
     let mut held = Vec::new();
--- a/pistachiolane/tests/log_queue.rs
+++ b/pistachiolane/tests/log_queue.rs
@@ -61,9 +61,9 @@
         queue.push(format!("line {n:<400}\n").into_bytes());
     }
     output.open();
-    queue.push(b"after\n".to_vec());
-    while !output.text().contains("lines dropped") {
-        queue.push(b"again\n".to_vec());
+    // Lines leave in their order: once a later one is out, so are all those kept before it.
+    while !output.text().ends_with("end\n") || !output.text().contains("lines dropped") {
+        queue.push(b"end\n".to_vec());
         queue.flush();
     }
     let text = output.text();
