--- a/pistachiolane/src/cli/args.rs
+++ b/pistachiolane/src/cli/args.rs
@@ -47,6 +47,9 @@
     /// State of a node.
     #[options(help = "print the whole state of a node")]
     Dump(QueryArgs),
+    /// Timeline of a request.
+    #[options(help = "print a request's timeline from log lines on standard input")]
+    Explain(ExplainArgs),
     /// Make a token.
     #[options(help = "make a team's token and the digest to keep in the settings")]
     Token(TokenArgs),
@@ -271,3 +274,14 @@
     #[options(no_short, help = "print JSON")]
     pub json: bool,
 }
+
+/// Arguments of `explain`.
+#[derive(Debug, Options)]
+pub struct ExplainArgs {
+    /// Print this help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Request.
+    #[options(free, required, help = "identity of the request")]
+    pub request: String,
+}
--- a/pistachiolane/src/cli/commands.rs
+++ b/pistachiolane/src/cli/commands.rs
@@ -46,7 +46,7 @@
 /// Runs one operator command.
 pub async fn run(command: Command) -> Exit {
     let done = match command {
-        Command::Node(_) => return Exit::Usage,
+        Command::Node(_) | Command::Explain(_) => return Exit::Usage,
         Command::Token(args) => return token(&args),
         Command::Set(args) => set(args).await,
         Command::Unset(args) => unset(args).await,
--- a/pistachiolane/src/cli/mod.rs
+++ b/pistachiolane/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod args;
 mod commands;
 mod exit;
+mod explain;
 mod line_queue;
 mod log_line;
 mod logging;
@@ -13,4 +14,4 @@
 mod output;
 mod run;
 
-pub use {adapter::Adapter, exit::Exit, line_queue::LineQueue, run::run};
+pub use {adapter::Adapter, exit::Exit, explain::explain, line_queue::LineQueue, run::run};
--- a/pistachiolane/src/cli/run.rs
+++ b/pistachiolane/src/cli/run.rs
@@ -4,7 +4,7 @@
     super::{
         Adapter, Exit,
         args::{Args, Command},
-        commands, node_process,
+        commands, explain::explain, node_process,
     },
     gumdrop::Options,
     std::process::ExitCode,
@@ -37,6 +37,13 @@
             Exit::Usage
         }
         Some(Command::Node(args)) => node_process::run(&args, adapter),
+        Some(Command::Explain(args)) => {
+            let done = explain(&args.request, std::io::stdin().lock(), &mut std::io::stdout());
+            done.unwrap_or_else(|e| {
+                eprintln!("explain: {e}");
+                Exit::Failed
+            })
+        }
         Some(command) => run_command(command),
     }
 }
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -3,10 +3,11 @@
 use {
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
-        metrics::{counter::Counter, family::Family, gauge::Gauge},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    std::fmt,
+    papaya::HashSet,
+    std::{fmt, time::Duration},
 };
 
 /// Label that tells apart the cases of one counter.
@@ -15,6 +16,87 @@
     case: &'static str,
 }
 
+/// Labels of a call that ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct CallLabels {
+    route: String,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+/// Labels of an attempt that ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct AttemptLabels {
+    upstream: String,
+    end: &'static str,
+}
+
+/// Routes and upstreams that have series of their own; the rest share one.
+const MAX_NAMES: usize = 512;
+
+/// Name of the series that all names beyond the bound share.
+const OTHER: &str = "other";
+
+/// Buckets in seconds: a millisecond added is the target, and callers wait for seconds at most.
+const BUCKETS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0];
+
+/// A latency histogram for each set of labels.
+pub type Latencies<L> = Family<L, Histogram, fn() -> Histogram>;
+
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS)
+}
+
+/// Histograms of calls and attempts, with a bounded number of series.
+pub struct LatencyMetrics {
+    calls: Latencies<CallLabels>,
+    attempts: Latencies<AttemptLabels>,
+    names: HashSet<String>,
+}
+
+impl fmt::Debug for LatencyMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("LatencyMetrics").field("names", &self.names.len()).finish_non_exhaustive()
+    }
+}
+
+impl LatencyMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let calls = Latencies::new_with_constructor(histogram as fn() -> Histogram);
+        let attempts = Latencies::new_with_constructor(histogram as fn() -> Histogram);
+        let help = "Time from a caller's request to its outcome, by route, outcome and reason";
+        registry.register("call_seconds", help, calls.clone());
+        let help = "Time from an attempt to its end, by the upstream's gate and the end";
+        registry.register("attempt_seconds", help, attempts.clone());
+        Self { calls, attempts, names: HashSet::new() }
+    }
+
+    /// Takes a call that ended.
+    pub fn call(&self, route: &str, outcome: &'static str, reason: &'static str, time: Duration) {
+        let labels = CallLabels { route: self.name(route), outcome, reason };
+        self.calls.get_or_create(&labels).observe(time.as_secs_f64());
+    }
+
+    /// Takes an attempt that ended.
+    pub fn attempt(&self, upstream: &str, end: &'static str, time: Duration) {
+        let labels = AttemptLabels { upstream: self.name(upstream), end };
+        self.attempts.get_or_create(&labels).observe(time.as_secs_f64());
+    }
+
+    fn name(&self, name: &str) -> String {
+        let names = self.names.pin();
+        if names.contains(name) {
+            return name.to_owned();
+        }
+        if names.len() >= MAX_NAMES {
+            return OTHER.to_owned();
+        }
+        names.insert(name.to_owned());
+        name.to_owned()
+    }
+}
+
 /// A counter for each of a few named cases.
 pub type Cases = Family<Case, Counter>;
 
@@ -23,6 +105,8 @@
         /// All counters and gauges of a node.
         pub struct Metrics {
             registry: Registry,
+            /// Latencies of calls and attempts.
+            pub latencies: LatencyMetrics,
             $($(#[doc = $doc])+ pub $name: $kind,)*
         }
 
@@ -35,7 +119,8 @@
                     let help = concat!($($doc),+).trim().trim_end_matches('.');
                     registry.register(stringify!($name), help, $name.clone());
                 )*
-                Self { registry, $($name,)* }
+                let latencies = LatencyMetrics::register(&mut registry);
+                Self { registry, latencies, $($name,)* }
             }
         }
     };
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -89,6 +89,20 @@
     Settled(Option<Settlement>),
 }
 
+impl AttemptEnd {
+    /// Short name in metrics.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Refused(reason, _) => reason.name(),
+            Self::Unsent => "unsent",
+            Self::Lost => "lost",
+            Self::Answered(_, _, true) => "failed",
+            Self::Answered(..) => "answered",
+            Self::Settled(_) => "settled",
+        }
+    }
+}
+
 /// Number in place of a connection's for the own gate, which no settlement retires.
 const NO_CONNECTION: u64 = u64::MAX;
 
@@ -97,6 +111,8 @@
 #[derive(Debug)]
 struct Sent {
     id: AttemptId,
+    upstream: SocketAddr,
+    at: Tick,
     abort: AbortHandle,
     connection: Arc<AtomicU64>,
 }
@@ -254,6 +270,10 @@
 
     fn event(&mut self, id: AttemptId, end: AttemptEnd) -> CallEvent {
         let metrics = &self.driver.shared.metrics;
+        if let Some(sent) = self.sent.iter().find(|s| s.id == id) {
+            let time = self.driver.shared.now().since(sent.at);
+            metrics.latencies.attempt(&sent.upstream.to_string(), end.name(), time);
+        }
         match end {
             AttemptEnd::Refused(reason, report) => {
                 Metrics::count(&metrics.refused, reason.name());
@@ -303,6 +323,7 @@
             caller: Arc::clone(&self.caller),
         };
         let local = candidate.member.node == shared.node;
+        let upstream = candidate.member.gate;
         let future = match req {
             None => async { AttemptEnd::Unsent }.boxed(),
             Some(req) if local => {
@@ -315,19 +336,21 @@
                 async move { remote(&shared, &candidate, attempt, req, &used).await }.boxed()
             }
         };
-        self.start(id, connection, future);
+        self.start(id, upstream, connection, future);
     }
 
     fn start(
         &mut self,
         id: AttemptId,
+        upstream: SocketAddr,
         connection: Arc<AtomicU64>,
         future: BoxFuture<'static, AttemptEnd>,
     ) {
         let (abort, registration) = AbortHandle::new_pair();
         let future = Abortable::new(future, registration);
         self.attempts.push(async move { (id, future.await.ok()) }.boxed());
-        self.sent.push(Sent { id, abort, connection });
+        let at = self.driver.shared.now();
+        self.sent.push(Sent { id, upstream, at, abort, connection });
     }
 
     fn parts(&mut self, candidate: &Candidate, cause: AttemptCause) -> Option<Request<Body>> {
@@ -369,6 +392,7 @@
         let shared = Arc::clone(&self.driver.shared);
         let connection = self.connection_of(id);
         let used = Arc::clone(&connection);
+        let upstream = candidate.member.gate;
         let future = async move {
             let number = used.load(Ordering::SeqCst);
             shared.hops.retire(candidate.member.node, number);
@@ -378,7 +402,7 @@
             Metrics::count(&shared.metrics.settled, case);
             AttemptEnd::Settled(settlement)
         };
-        self.start(id, connection, future.boxed());
+        self.start(id, upstream, connection, future.boxed());
     }
 
     fn connection_of(&self, id: AttemptId) -> Arc<AtomicU64> {
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -293,6 +293,8 @@
             CallEnd::Answer(res) => res.status().as_u16(),
             CallEnd::NoAnswer(_) => 0,
         };
+        let metrics = &self.driver.shared.metrics.latencies;
+        metrics.call(&treatment.route, outcome, reason, now.since(started));
         log::info!(
             target: "entry", request = id, route = &*treatment.route, service = &*treatment.service,
             settings = treatment.version, outcome, reason, status,
