Gates tell when neighbours slow them down; returns are spread; a stopping gate serves on

Cause: the second site's upstreams are four times slower for a third of the time, in spells of 300 ms, and entries heard of it only with their own answers. Hedges copied work to busy services. Refused callers returned after the same second. Change: reports carry the slowness relative to the upstream's average, a flip is told to the region by one packet each, and a fresh figure counts in the expected completion; hedges need a service below 0.6 of its slots; Retry-After spreads over the least backlog; a stopping gate takes work for 1.4 s more. Tests: slowness_relative_to_its_average, pick_avoids_noisy_neighbours, retry_after_spreads_returns.

--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -3,7 +3,7 @@
 use {
     super::{AttemptCause, CallAction, CallEvent, CallSpec, NotRunReason, Outcome},
     crate::{
-        limits::{RefusalReason, TokenBucket},
+        limits::{RefusalReason, TokenBucket, retry_after},
         routing::{Candidate, Distance, PickRequest, ServiceTable, pick},
         schema::{AttemptId, LoadReport, Settlement, WorkKind},
         tick::Tick,
@@ -27,12 +27,12 @@
 /// Expected utilisation from which an attempt is allowed to queue at once.
 const QUEUE_UTILISATION: f64 = 1.5;
 
+/// Expected utilisation up to which a hedge is sent: a second copy of the work is no help to a busy service.
+const HEDGE_UTILISATION: f64 = 0.6;
+
 /// Wait before a gate is asked again about a running or unreachable attempt.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
 
-/// When a caller that found the service full may come back.
-const RETRY_AFTER_FULL: Duration = Duration::from_secs(1);
-
 /// Least bytes that a request spilled to another region is assumed to cost.
 const MIN_SPILL_BYTES: u64 = 4_096;
 
@@ -170,7 +170,7 @@
         match reason {
             RefusalReason::Busy => self.busy.push(node),
             RefusalReason::Expired if self.flights.is_empty() => {
-                let outcome = self.give_up(NotRunReason::Expired);
+                let outcome = self.give_up(cx, rng, NotRunReason::Expired);
                 return self.finish(now, outcome);
             }
             _ => self.excluded.push(node),
@@ -179,7 +179,7 @@
             return Vec::new();
         }
         if reason == RefusalReason::Shed && !self.may_try_after_shed(cx) {
-            let outcome = self.give_up(NotRunReason::ServiceFull);
+            let outcome = self.give_up(cx, rng, NotRunReason::ServiceFull);
             return self.finish(now, outcome);
         }
         self.next_attempt(now, cx, rng)
@@ -319,7 +319,7 @@
     fn timer<R: Rng>(&mut self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> Vec<CallAction> {
         if now >= self.spec.deadline {
             let outcome = if self.flights.is_empty() {
-                self.give_up(NotRunReason::Expired)
+                self.give_up(cx, rng, NotRunReason::Expired)
             } else {
                 Outcome::Unknown
             };
@@ -353,7 +353,7 @@
         let req = PickRequest { now, tried: &tried, may_spill: false };
         let pick = pick(cx.table, req, rng)?;
         let retries = &cx.table.state.retries;
-        let is_idle = pick.estimate.utilisation < QUEUE_UTILISATION;
+        let is_idle = pick.estimate.utilisation < HEDGE_UTILISATION;
         if !is_idle
             || !self.has_attempts_left()
             || retries.available() <= HEDGE_RESERVE
@@ -371,11 +371,11 @@
         rng: &mut R,
     ) -> Vec<CallAction> {
         if now >= self.spec.deadline {
-            let outcome = self.give_up(NotRunReason::Expired);
+            let outcome = self.give_up(cx, rng, NotRunReason::Expired);
             return self.finish(now, outcome);
         }
         if !self.spec.replayable && self.direct + self.queued > 0 {
-            let outcome = self.give_up(NotRunReason::BodySpent);
+            let outcome = self.give_up(cx, rng, NotRunReason::BodySpent);
             return self.finish(now, outcome);
         }
         let direct = self.spec.replayable && self.direct < DIRECT_ATTEMPTS;
@@ -386,7 +386,7 @@
         let Some(found) = found else {
             let reason =
                 if self.queued > 0 { NotRunReason::ServiceFull } else { NotRunReason::NoUpstream };
-            let outcome = self.give_up(reason);
+            let outcome = self.give_up(cx, rng, reason);
             return self.finish(now, outcome);
         };
         // A gate that has just said that it is busy, and is still the best, may queue the attempt.
@@ -399,7 +399,7 @@
             self.direct += 1;
         }
         if self.queued > QUEUE_ATTEMPTS {
-            let outcome = self.give_up(NotRunReason::ServiceFull);
+            let outcome = self.give_up(cx, rng, NotRunReason::ServiceFull);
             return self.finish(now, outcome);
         }
         let cause = if self.may_have_run { AttemptCause::Retry } else { AttemptCause::First };
@@ -446,11 +446,11 @@
         CallAction::WakeAt(first.unwrap_or(self.spec.deadline))
     }
 
-    fn give_up(&self, reason: NotRunReason) -> Outcome {
+    fn give_up<R: Rng>(&self, cx: CallContext<'_>, rng: &mut R, reason: NotRunReason) -> Outcome {
         if self.may_have_run {
             return Outcome::Unknown;
         }
-        Outcome::NotRun { reason, retry_after: RETRY_AFTER_FULL }
+        Outcome::NotRun { reason, retry_after: retry_after(rng, cx.table.expected_room()) }
     }
 
     fn finish(&mut self, now: Tick, outcome: Outcome) -> Vec<CallAction> {
--- a/pistachiolane/src/cli/run.rs
+++ b/pistachiolane/src/cli/run.rs
@@ -4,7 +4,9 @@
     super::{
         Adapter, Exit,
         args::{Args, Command},
-        commands, explain::explain, node_process,
+        commands,
+        explain::explain,
+        node_process,
     },
     gumdrop::Options,
     std::process::ExitCode,
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -1,7 +1,7 @@
 //! Admission of one gate: who runs, who waits, who is refused.
 
 use {
-    super::{AdaptiveLimit, Demand, Slots},
+    super::{AdaptiveLimit, Demand, Slots, Slowness},
     crate::{
         schema::{GateState, LoadReport},
         tick::Tick,
@@ -25,9 +25,6 @@
 /// Share of the slots in percent that requests may fill which will end late.
 const LATE_PERCENT: u32 = 70;
 
-/// Time for which an upstream's account of its slowness is believed; neighbours change it several times a second.
-const SLOWNESS_LIFE: Duration = Duration::from_millis(150);
-
 value! {
     /// What happens to an attempt that arrives.
     pub enum Arrival {
@@ -93,8 +90,8 @@
     draining: AtomicBool,
     ready_at: AtomicU64,
     present: AtomicBool,
-    slowness_percent: AtomicU32,
-    slowness_at: AtomicU64,
+    /// How long work takes at the upstream at this moment, by its own account.
+    pub slowness: Slowness,
 }
 
 impl Default for Gate {
@@ -107,8 +104,7 @@
             draining: AtomicBool::new(false),
             ready_at: AtomicU64::new(0),
             present: AtomicBool::new(false),
-            slowness_percent: AtomicU32::new(100),
-            slowness_at: AtomicU64::new(0),
+            slowness: Slowness::default(),
         }
     }
 }
@@ -216,18 +212,6 @@
         }
     }
 
-    /// Takes how long work takes at the upstream at this moment, 100 as usual, by its own account.
-    pub fn observe_slowness(&self, now: Tick, percent: u32) {
-        self.slowness_percent.store(percent.max(1), Ordering::Relaxed);
-        self.slowness_at.store(now.0, Ordering::Relaxed);
-    }
-
-    /// How long work takes at this moment, 100 as usual; an old account says nothing.
-    pub fn slowness_percent(&self, now: Tick) -> u32 {
-        let age = now.since(Tick(self.slowness_at.load(Ordering::Relaxed)));
-        if age > SLOWNESS_LIFE { 100 } else { self.slowness_percent.load(Ordering::Relaxed) }
-    }
-
     /// Whether anything queues.
     pub fn has_queue(&self) -> bool {
         self.queued.load(Ordering::SeqCst) > 0
@@ -246,6 +230,7 @@
             running: self.slots.running() as u16,
             queued: self.queued.load(Ordering::SeqCst) as u16,
             latency_us: u32::try_from(self.limit.latency_us()).unwrap_or(u32::MAX),
+            slowness_percent: self.slowness.relative_percent(now) as u16,
             state: self.state(now),
         }
     }
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -10,13 +10,15 @@
         timing::{
             ACK_TIMEOUT, CROSS_REGION_PINGS_PER_SECOND, CROSS_REGION_SPREADERS, EXCHANGE_PERIOD,
             EXCHANGE_TIME_PER_MEMBER, INDIRECT_PROBES, INDIRECT_TIMEOUT, JOIN_TIMEOUT, KEEP_DEAD,
-            PAUSE, PROBE_PERIOD, REJOIN_PERIOD, SPREAD_FANOUT, SPREAD_PERIOD, SUSPECTS_PERIOD,
-            SUSPICION,
+            LOAD_FANOUT, PAUSE, PROBE_PERIOD, REJOIN_PERIOD, SPREAD_FANOUT, SPREAD_PERIOD,
+            SUSPECTS_PERIOD, SUSPICION,
         },
         updates::Updates,
     },
     crate::{
-        schema::{Acknowledgement, Health, MemberRecord, Packet, PacketBody, PingRequest},
+        schema::{
+            Acknowledgement, Health, LoadReport, MemberRecord, Packet, PacketBody, PingRequest,
+        },
         tick::Tick,
     },
     rand::{Rng, RngExt, seq::SliceRandom},
@@ -44,6 +46,8 @@
     Records(Vec<MemberRecord>),
     /// The node's own record changed; its revision is raised here.
     Own(MemberRecord),
+    /// The load of the node's gate changed in a way that others should hear of at once.
+    Load(LoadReport),
 }
 
 /// What the driver must do.
@@ -59,6 +63,8 @@
     Changed,
     /// A round trip to a member was measured.
     RoundTrip(u64, Duration),
+    /// A member told the load of its gate.
+    Load(u64, LoadReport),
 }
 
 value! {
@@ -224,11 +230,28 @@
                 self.merge_all(now, records, Spread::Keep, &mut actions);
             }
             MembershipEvent::Own(record) => self.own_changed(record, &mut actions),
+            MembershipEvent::Load(report) => self.tell_load(rng, report, &mut actions),
         }
         invariant!(self.known.len() <= MAX_MEMBERS, "members_bounded");
         actions
     }
 
+    /// Tells some members of the region the load of the node's gate.
+    fn tell_load<R: Rng>(
+        &mut self,
+        rng: &mut R,
+        report: LoadReport,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        let mut near: Vec<SocketAddr> = self.neighbours().map(|r| r.control).collect();
+        near.shuffle(rng);
+        for address in near.into_iter().take(LOAD_FANOUT) {
+            let sequence = self.next_sequence();
+            let packet = self.compose(sequence, PacketBody::Load(report));
+            actions.push(MembershipAction::Send(address, packet));
+        }
+    }
+
     fn own_changed(&mut self, record: MemberRecord, actions: &mut Vec<MembershipAction>) {
         let revision = self.own.revision + 1;
         self.own = MemberRecord { revision, ..record };
@@ -519,6 +542,7 @@
             PacketBody::Ping(target) => self.answer_ping(from, sequence, target, actions),
             PacketBody::PingRequest(req) => self.relay_ping(now, from, sequence, &req, actions),
             PacketBody::Ack(ack) => self.acknowledged(now, sequence, &ack, from, actions),
+            PacketBody::Load(report) => actions.push(MembershipAction::Load(packet.from, report)),
         }
     }
 
--- a/pistachiolane/src/membership/timing.rs
+++ b/pistachiolane/src/membership/timing.rs
@@ -49,3 +49,6 @@
 
 /// Nodes of a region that carry a piece of urgent news to other regions, on average.
 pub const CROSS_REGION_SPREADERS: f64 = 4.0;
+
+/// Members of the region that hear of a change of a gate's load at once; the others with its next answer to them.
+pub const LOAD_FANOUT: usize = 12;
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -1,12 +1,12 @@
 //! Counters of a node, in the Prometheus text format.
 
 use {
+    papaya::HashSet,
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    papaya::HashSet,
     std::{fmt, time::Duration},
 };
 
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -7,7 +7,10 @@
         limits::WATCHERS_PER_REGION,
         membership::{Members, MembershipAction, MembershipEvent},
         routing::RoutingTable,
-        schema::{ExchangeReply, Health, MemberRecord, Packet, Placement, Subtree, SubtreeVersion},
+        schema::{
+            ExchangeReply, Health, LoadReport, MemberRecord, Packet, Placement, Subtree,
+            SubtreeVersion,
+        },
     },
     std::{
         collections::HashSet,
@@ -164,6 +167,7 @@
         let mut timer = interval(TIMER_INTERVAL);
         timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.members.set_settings_digest(self.holder.digest());
+        let shared = Arc::clone(&self.shared);
         loop {
             tokio::select! {
                 _tick = timer.tick() => {
@@ -172,6 +176,10 @@
                     let joined = self.members.has_joined(self.shared.now());
                     self.shared.has_joined.store(joined, Ordering::Relaxed);
                 }
+                () = shared.load_news.notified() => {
+                    let report = self.shared.admission.gate.report(self.shared.now());
+                    self.step(MembershipEvent::Load(report));
+                }
                 command = self.commands.recv() => match command {
                     Some(command) => self.command(command),
                     None => return,
@@ -219,6 +227,7 @@
                 MembershipAction::SettingsDiffer(from) => self.compare_settings(from),
                 MembershipAction::Changed => self.changed = true,
                 MembershipAction::RoundTrip(node, time) => self.observe_link(node, time),
+                MembershipAction::Load(node, report) => self.observe_load(node, &report),
             }
         }
     }
@@ -239,6 +248,13 @@
         }
     }
 
+    fn observe_load(&self, node: u64, report: &LoadReport) {
+        let table = self.shared.table.load();
+        for candidate in table.services().filter_map(|s| s.candidate(node)) {
+            candidate.report(self.shared.now(), report);
+        }
+    }
+
     fn rebuild(&mut self) {
         if !std::mem::take(&mut self.changed) {
             return;
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -387,7 +387,11 @@
                 headers.get(name).and_then(|v| v.to_str().ok()).and_then(read)
             });
         if let Some(percent) = load.and_then(|l| l.slowness_percent) {
-            self.shared.admission.gate.observe_slowness(self.shared.now(), percent);
+            let (now, slowness) = (self.shared.now(), &self.shared.admission.gate.slowness);
+            slowness.observe(now, percent);
+            if slowness.claim_news(now) {
+                self.shared.load_news.notify_one();
+            }
         }
     }
 
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -39,6 +39,10 @@
 /// readiness, one a second, and the other nodes learn of it meanwhile.
 const MOVE_TIME: Duration = Duration::from_millis(2_700);
 
+/// Time for which the gate of a leaving node still takes work: callers are on their way off anyhow, and what
+/// the gate would refuse, others would have to carry.
+const SERVE_ON_TIME: Duration = Duration::from_millis(1_400);
+
 /// Announcements that may wait to be taken.
 const MAX_NEWS: usize = 64;
 
@@ -136,6 +140,7 @@
         let running = self.shared.admission.gate.running();
         log::info!(target: "node", running; "leaving");
         self.shared.leaving.store(true, Ordering::SeqCst);
+        sleep(SERVE_ON_TIME.min(limit / 4)).await;
         self.shared.admission.gate.drain();
         let upstreams = self
             .shared
@@ -143,7 +148,7 @@
             .load_full()
             .map(|u| Placement { service: Arc::clone(&u.service), slots: u.slots });
         self.control.placement(upstreams.into_iter().collect(), Health::Draining).await;
-        sleep(MOVE_TIME.min(limit / 2)).await;
+        sleep((MOVE_TIME - SERVE_ON_TIME).min(limit / 4)).await;
         self.shared.stopping.cancel();
         self.shared.work.close();
         while Instant::now() + CLOSE_TIME < until && !self.is_idle() {
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -23,7 +23,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     tokio::{
-        sync::mpsc,
+        sync::{Notify, mpsc},
         time::{Duration, Instant},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -98,6 +98,8 @@
     pub watch_rank: AtomicU64,
     /// Whether the node is ready only with routes in force.
     pub needs_routes: bool,
+    /// Told when other nodes should hear of the gate's load at once.
+    pub load_news: Notify,
     /// Set when the gate takes no new work because the node leaves.
     pub leaving: AtomicBool,
     /// Set when the node accepts no more connections of callers.
@@ -137,6 +139,7 @@
             has_joined: AtomicBool::new(false),
             watch_rank: AtomicU64::new(0),
             needs_routes: surroundings.needs_routes,
+            load_news: Notify::new(),
             leaving: AtomicBool::new(false),
             stopping: CancellationToken::new(),
             work: TaskTracker::new(),
--- a/pistachiolane/src/routing/candidate.rs
+++ b/pistachiolane/src/routing/candidate.rs
@@ -41,6 +41,7 @@
     sequence: AtomicU64,
     load: AtomicU64,
     latency_us: AtomicU32,
+    slowness_percent: AtomicU32,
     reported_at: AtomicU64,
     outstanding: AtomicU32,
     sent_since_report: AtomicU32,
@@ -63,6 +64,7 @@
             sequence: AtomicU64::new(0),
             load: AtomicU64::new(pack(&empty)),
             latency_us: AtomicU32::new(0),
+            slowness_percent: AtomicU32::new(0),
             reported_at: AtomicU64::new(0),
             outstanding: AtomicU32::new(0),
             sent_since_report: AtomicU32::new(0),
@@ -83,6 +85,7 @@
         }
         self.load.store(pack(report), Ordering::Release);
         self.latency_us.store(report.latency_us, Ordering::Release);
+        self.slowness_percent.store(u32::from(report.slowness_percent), Ordering::Release);
         self.sent_since_report.store(0, Ordering::Release);
         self.reported_at.store(now.0, Ordering::Release);
         self.refused_until.store(0, Ordering::Relaxed);
@@ -179,6 +182,7 @@
         LoadReport {
             sequence: self.sequence.load(Ordering::Acquire),
             latency_us: self.latency_us.load(Ordering::Acquire),
+            slowness_percent: self.slowness_percent.load(Ordering::Acquire) as u16,
             ..load
         }
     }
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -15,6 +15,12 @@
 /// Age at which a report of service time has lost most of its weight.
 const LATENCY_DECAY: Duration = Duration::from_secs(10);
 
+/// Age at which a report of slowness has lost most of its weight: neighbours change several times a second.
+const SLOWNESS_DECAY: Duration = Duration::from_millis(200);
+
+/// Share of a request's time for which the present slowness lasts, about.
+const SLOWNESS_WEIGHT: f64 = 0.6;
+
 /// Service time assumed while no upstream of the service has reported one.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(5);
 
@@ -129,6 +135,17 @@
     if cold { slots * SLOW_START_OCCUPANCY } else { 0.0 }
 }
 
+/// How much longer, or shorter, work takes while the upstream's neighbours are as they are now.
+fn neighbours_factor(now: Tick, candidate: &Candidate) -> f64 {
+    let percent = candidate.last_report().slowness_percent;
+    let age = candidate.report_age(now);
+    let (Some(age), 1..) = (age, percent) else {
+        return 1.0;
+    };
+    let fresh = (-age.as_secs_f64() / SLOWNESS_DECAY.as_secs_f64()).exp();
+    1.0 + SLOWNESS_WEIGHT * fresh * (f64::from(percent) / 100.0 - 1.0)
+}
+
 fn latency_us(now: Tick, candidate: &Candidate, norm: &ServiceNorm, weight: f64) -> f64 {
     let reported = f64::from(candidate.last_report().latency_us);
     let ratio = reported / norm.latency_us;
@@ -136,6 +153,7 @@
     let known =
         if SAME_LATENCY.contains(&ratio) || reported == 0.0 { norm.latency_us } else { reported };
     let expected = weight * known + (1.0 - weight) * norm.latency_us;
+    let expected = expected * neighbours_factor(now, candidate);
     let silence = micros(candidate.silence(now)) as f64;
     if silence > SILENCE_FACTOR * expected { expected + silence } else { expected }
 }
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -6,7 +6,7 @@
         limits::{Average, Quantile, RetryBudget},
         tick::Tick,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Quantile of the answers' latency after which a hedge is sent, in permille.
@@ -18,6 +18,9 @@
 /// Share of a service's upstreams that may be ejected, as a divisor.
 const MAX_EJECTED_DIVISOR: usize = 3;
 
+/// Time after which an upstream may have come back where there is none: a process restarts within a second.
+const NO_UPSTREAM_PAUSE: Duration = Duration::from_millis(700);
+
 /// Measurements of a service that outlive changes of its upstreams.
 #[derive(Debug)]
 pub struct ServiceState {
@@ -61,6 +64,17 @@
         self.candidates.iter().find(|c| c.member.node == node)
     }
 
+    /// Time after which a slot is expected to be free somewhere: the backlog of the least loaded upstream.
+    pub fn expected_room(&self) -> Duration {
+        let backlog = |c: &Arc<Candidate>| {
+            let report = c.last_report();
+            let waiting = u64::from(report.running) / 2 + u64::from(report.queued);
+            u64::from(report.latency_us) * waiting / u64::from(report.slots.max(1))
+        };
+        let usable = self.candidates.iter().filter(|c| !c.is_gone());
+        usable.map(backlog).min().map_or(NO_UPSTREAM_PAUSE, Duration::from_micros)
+    }
+
     /// Ejects upstreams whose service time is far above the median; gives those newly ejected.
     ///
     /// At most a third of the upstreams are out at any time.
--- a/pistachiolane/src/schema/load_report.rs
+++ b/pistachiolane/src/schema/load_report.rs
@@ -37,6 +37,8 @@
         pub queued: u16,
         /// Estimated service time in microseconds; zero while unknown.
         pub latency_us: u32,
+        /// How long work takes at this moment relative to the upstream's average, in percent; zero while unknown.
+        pub slowness_percent: u16,
         /// Whether new work is wanted.
         pub state: GateState,
     }
@@ -65,7 +67,7 @@
     }
 }
 
-const FIELDS: usize = 6;
+const FIELDS: usize = 7;
 
 impl Serialize for LoadReport {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
@@ -75,6 +77,7 @@
         tuple.serialize_element(&self.running)?;
         tuple.serialize_element(&self.queued)?;
         tuple.serialize_element(&self.latency_us)?;
+        tuple.serialize_element(&self.slowness_percent)?;
         tuple.serialize_element(&self.state.code())?;
         tuple.end()
     }
@@ -86,20 +89,21 @@
     type Value = LoadReport;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a load report of six numbers")
+        f.write_str("a load report of seven numbers")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<LoadReport, A::Error> {
-        let short = |n| A::Error::invalid_length(n, &"six numbers");
+        let short = |n| A::Error::invalid_length(n, &"seven numbers");
         let report = LoadReport {
             sequence: seq.next_element()?.ok_or_else(|| short(0))?,
             slots: seq.next_element()?.ok_or_else(|| short(1))?,
             running: seq.next_element()?.ok_or_else(|| short(2))?,
             queued: seq.next_element()?.ok_or_else(|| short(3))?,
             latency_us: seq.next_element()?.ok_or_else(|| short(4))?,
+            slowness_percent: seq.next_element()?.ok_or_else(|| short(5))?,
             state: GateState::Ready,
         };
-        let code = seq.next_element()?.ok_or_else(|| short(5))?;
+        let code = seq.next_element()?.ok_or_else(|| short(6))?;
         let state = GateState::from_code(code)
             .ok_or_else(|| A::Error::custom(format_args!("unknown gate state {code}")))?;
         Ok(LoadReport { state, ..report })
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -4,12 +4,14 @@
     pistachiolane::{
         limits::{
             AdaptiveLimit, Arrival, Demand, Gate, Line, Queued, RefusalReason, RetryBudget,
-            StartBy, TokenBucket, WATCHERS_PER_REGION, WaitQueue, platform_budget, platform_share,
+            Slowness, StartBy, TokenBucket, WATCHERS_PER_REGION, WaitQueue, platform_budget,
+            platform_share, retry_after,
         },
         schema::GateState,
         tick::Tick,
     },
     proptest::{prelude::*, test_runner::RngSeed},
+    rand::{SeedableRng, rngs::SmallRng},
     std::{sync::Arc, time::Duration},
     test_case::test_case,
 };
@@ -292,3 +294,35 @@
     gate.finish();
     assert_eq!(queue.next(Tick(5), &gate, |_| false), Some(Queued::Run(2)));
 }
+
+/// A noisy neighbour: slowness counts against the average, for a moment, and each flip is news once.
+#[test]
+fn slowness_relative_to_its_average() {
+    let slowness = Slowness::default();
+    let at = |ms: u64| Tick(ms * 1_000);
+    assert_eq!(slowness.relative_percent(at(0)), 100);
+    for ms in 0..100 {
+        slowness.observe(at(ms), 100);
+    }
+    assert!((95..=105).contains(&slowness.relative_percent(at(100))));
+    assert!(!slowness.claim_news(at(100)) || !slowness.claim_news(at(200)));
+    slowness.observe(at(300), 400);
+    assert!(slowness.relative_percent(at(300)) > 200);
+    assert!(slowness.claim_news(at(300)));
+    assert!(!slowness.claim_news(at(360)));
+    assert_eq!(slowness.relative_percent(at(700)), 100);
+}
+
+/// Callers refused in one burst come back spread over the time of the backlog.
+#[test]
+fn retry_after_spreads_returns() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let room = Duration::from_millis(400);
+    let mut after: Vec<Duration> = (0..1_000).map(|_| retry_after(&mut rng, room)).collect();
+    after.sort_unstable();
+    assert!(after[0] >= Duration::from_millis(200) && after[999] <= Duration::from_millis(600));
+    // A tenth of the time brings about a tenth of the callers.
+    let early = after.iter().filter(|a| **a < Duration::from_millis(240)).count();
+    assert!((70..=130).contains(&early), "{early}");
+    assert!(retry_after(&mut rng, Duration::ZERO) >= Duration::from_millis(80));
+}
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -167,3 +167,16 @@
     table.candidates[1].report(NOW, &report(1, 0, 80_000));
     assert_eq!(picks(&table, &[], true), [expected]);
 }
+
+/// A noisy neighbour beside the near upstream: a fresh report sends work next door, an old one does not.
+#[test_case(0, 2; "fresh")]
+#[test_case(2_000, 1; "two seconds old")]
+fn pick_avoids_noisy_neighbours(age_ms: u64, expected: u64) {
+    let table = table(&[Distance::Zone, Distance::Region]);
+    table.state.bytes.record(5_000.0);
+    let at = Tick(NOW.0 - age_ms * 1_000);
+    let noisy = LoadReport { slowness_percent: 250, ..report(1, 2, 200_000) };
+    table.candidates[0].report(at, &noisy);
+    table.candidates[1].report(at, &LoadReport { slowness_percent: 60, ..report(1, 2, 200_000) });
+    assert_eq!(picks(&table, &[], true), [expected]);
+}
--- a/pistachiolane/tests/wire.rs
+++ b/pistachiolane/tests/wire.rs
@@ -14,14 +14,18 @@
 }
 
 fn report() -> impl Strategy<Value = LoadReport> {
-    let numbers = (any::<u64>(), any::<u16>(), any::<u16>(), any::<u16>(), any::<u32>(), 0..4_u8);
-    numbers.prop_map(|(sequence, slots, running, queued, latency_us, code)| LoadReport {
-        sequence,
-        slots,
-        running,
-        queued,
-        latency_us,
-        state: GateState::from_code(code).unwrap_or_default(),
+    let shorts = (any::<u16>(), any::<u16>(), any::<u16>(), any::<u16>());
+    let numbers = (any::<u64>(), shorts, any::<u32>(), 0..4_u8);
+    numbers.prop_map(|(sequence, (slots, running, queued, slowness_percent), latency_us, code)| {
+        LoadReport {
+            sequence,
+            slots,
+            running,
+            queued,
+            latency_us,
+            slowness_percent,
+            state: GateState::from_code(code).unwrap_or_default(),
+        }
     })
 }
 
