--- a/lab/src/faults/world.rs
+++ b/lab/src/faults/world.rs
@@ -379,7 +379,8 @@
             }
             MembershipAction::SettingsDiffer(_)
             | MembershipAction::Changed
-            | MembershipAction::RoundTrip(..) => {}
+            | MembershipAction::RoundTrip(..)
+            | MembershipAction::Load(..) => {}
         }
     }
 
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -189,7 +189,9 @@
                         inbox.push(MembershipEvent::Records(records[1..].to_vec()));
                     }
                     MembershipAction::Changed => changed = true,
-                    MembershipAction::SettingsDiffer(_) | MembershipAction::RoundTrip(..) => {}
+                    MembershipAction::SettingsDiffer(_)
+                    | MembershipAction::RoundTrip(..)
+                    | MembershipAction::Load(..) => {}
                 }
             }
             if changed {
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -33,6 +33,7 @@
     listen: SocketAddr,
     ready: SocketAddr,
     announce: SocketAddr,
+    admin: SocketAddr,
     http: HttpClient,
 }
 
@@ -93,6 +94,7 @@
         listen: own.listen,
         ready: more.listen,
         announce: more.gate,
+        admin: own.admin,
         http: HttpClient::new(),
     }
 }
@@ -393,3 +395,35 @@
     assert_eq!(running.await.unwrap(), "HTTP/1.1 404");
     assert!(stopping.await.unwrap());
 }
+
+/// Each kind of refusal is told to the caller and stands in the metrics under the same reason.
+#[test_case("POST", "/orders/shed", 1_200, true, 503, "service-full"; "the upstream turns it away")]
+#[test_case("GET", "/sizing/ok", 0, true, 503, "expired"; "no time left")]
+#[test_case("GET", "/sizing/ok", 1_200, false, 503, "no-upstream"; "nobody announces the service")]
+#[tokio::test(flavor = "multi_thread")]
+async fn refusal_reasons(
+    method: &str,
+    path: &str,
+    deadline_ms: u32,
+    announced: bool,
+    code: u16,
+    reason: &str,
+) {
+    let store = PlatformStandIn::new();
+    store.operate("config", "main", configuration("r7", "shop.example"));
+    let site = start(store).await;
+    if announced {
+        assert_eq!(site.beat("i-1", "ready", 1, 100).await, 200);
+    }
+    site.until("ready", async || site.readiness().await == 200).await;
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nx-pistachiolane-deadline-ms: {deadline_ms}\r\n\
+         connection: close\r\n\r\n"
+    );
+    let answer = site.raw(&text).await;
+    assert_eq!(status(&answer), code, "{answer}");
+    assert!(answer.contains(&format!("pistachiolane-reason: {reason}")), "{answer}");
+    let metrics = site.http.get(&format!("http://{}/metrics", site.admin)).await.unwrap();
+    let series = format!("outcome=\"not-run\",reason=\"{reason}\"}} 1");
+    assert!(metrics.contains(&series), "{reason} not in {metrics}");
+}
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -74,6 +74,7 @@
     direct: u32,
     queued: u32,
     may_have_run: bool,
+    was_turned_away: bool,
     spent: u32,
     hedge_at: Option<Tick>,
     finished: bool,
@@ -90,6 +91,7 @@
             direct: 0,
             queued: 0,
             may_have_run: false,
+            was_turned_away: false,
             spent: 0,
             hedge_at: None,
             finished: false,
@@ -169,6 +171,10 @@
         let node = flight.candidate.member.node;
         match reason {
             RefusalReason::Busy => self.busy.push(node),
+            RefusalReason::Shed | RefusalReason::QueueFull => {
+                self.was_turned_away = true;
+                self.excluded.push(node);
+            }
             RefusalReason::Expired if self.flights.is_empty() => {
                 let outcome = self.give_up(cx, rng, NotRunReason::Expired);
                 return self.finish(now, outcome);
@@ -384,8 +390,8 @@
             .filter(|p| p.candidate.distance != Distance::Remote || may_spill(now, cx))
             .or_else(|| pick(cx.table, PickRequest { may_spill: false, ..req }, rng));
         let Some(found) = found else {
-            let reason =
-                if self.queued > 0 { NotRunReason::ServiceFull } else { NotRunReason::NoUpstream };
+            let is_full = self.queued > 0 || self.was_turned_away;
+            let reason = if is_full { NotRunReason::ServiceFull } else { NotRunReason::NoUpstream };
             let outcome = self.give_up(cx, rng, reason);
             return self.finish(now, outcome);
         };
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -15,7 +15,7 @@
     crate::{
         attempt::{CallSpec, NotRunReason, Outcome},
         metrics::Metrics,
-        routing::{Candidate, ProbeBudget, ServiceTable, next_probe},
+        routing::{Candidate, NO_UPSTREAM_PAUSE, ProbeBudget, ServiceTable, next_probe},
         schema::{CallerLimits, WorkKind},
         tick::Tick,
     },
@@ -262,15 +262,18 @@
             return Err(Rejection::TooDeep);
         }
         let (spec, outgoing) = self.prepare(&treatment, head, body, started).await?;
-        let Some(table) = shared.table.load().service(&treatment.service).map(Arc::clone) else {
-            if !shared.is_ready() {
-                return Err(Rejection::NotReady);
+        let table = shared.table.load().service(&treatment.service).map(Arc::clone);
+        let end = match table {
+            None if !shared.is_ready() => return Err(Rejection::NotReady),
+            None => CallEnd::NoAnswer(Outcome::NotRun {
+                reason: NotRunReason::NoUpstream,
+                retry_after: NO_UPSTREAM_PAUSE,
+            }),
+            Some(table) => {
+                self.watch_load(&table);
+                self.driver.drive(&table, spec, outgoing, id).await
             }
-            let (reason, retry_after) = (NotRunReason::NoUpstream, Duration::from_secs(1));
-            return Ok(self.response(CallEnd::NoAnswer(Outcome::NotRun { reason, retry_after })));
         };
-        self.watch_load(&table);
-        let end = self.driver.drive(&table, spec, outgoing, id).await;
         self.log_end(&end, id, &treatment, started, spec);
         Ok(self.response(end))
     }
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -39,7 +39,7 @@
     tokio::{
         net::{TcpListener, TcpStream},
         sync::oneshot,
-        time::timeout,
+        time::{error::Elapsed, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -290,6 +290,7 @@
         let pool = self.pool(&announced);
         let answer = timeout(remaining, pool.send(req, attempt.repeatable)).await;
         let elapsed = shared.now().since(started);
+        self.log_run(attempt, &answer, remaining, elapsed);
         let gate = &shared.admission.gate;
         match answer {
             Ok(Ok((res, connection))) => {
@@ -330,6 +331,32 @@
         }
     }
 
+    /// What the upstream made of an attempt, and how busy and slow it was.
+    fn log_run(
+        &self,
+        attempt: &AttemptHeader,
+        answer: &Sent,
+        remaining: Duration,
+        elapsed: Duration,
+    ) {
+        let now = self.shared.now();
+        let report = self.shared.admission.gate.report(now);
+        let waited = Duration::from_micros(attempt.budget_us).saturating_sub(remaining);
+        let (end, status) = match answer {
+            Ok(Ok((res, _))) => ("answered", res.status().as_u16()),
+            Ok(Err(UpstreamError::Unsent(_))) => ("unsent", 0),
+            Ok(Err(UpstreamError::Lost(_))) => ("lost", 0),
+            Err(_) => ("timed-out", 0),
+        };
+        log::info!(
+            target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service, end, status,
+            waited_ms = waited.as_millis() as u64, elapsed_ms = elapsed.as_millis() as u64,
+            running = report.running, queued = report.queued,
+            slowness_percent = report.slowness_percent;
+            "attempt ran"
+        );
+    }
+
     /// The pool of the announced incarnation; an earlier one's connections close when their requests end.
     fn pool(&self, announced: &Announcement) -> Arc<UpstreamPool> {
         let same = |i: &Arc<Incarnation>| {
@@ -486,6 +513,9 @@
     }
 }
 
+/// Result of sending a request to the upstream within a time.
+type Sent = Result<Result<(Response<Incoming>, UpstreamConnection), UpstreamError>, Elapsed>;
+
 /// What an answer of the upstream is worth.
 enum Judged {
     /// The service's own answer to the request.
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -35,9 +35,9 @@
     },
 };
 
-/// Time for which a leaving node goes on accepting callers: they are asked to go after two looks at its
-/// readiness, one a second, and the other nodes learn of it meanwhile.
-const MOVE_TIME: Duration = Duration::from_millis(2_700);
+/// Time after that for which a leaving node goes on accepting callers: they are asked to go after two looks at
+/// its readiness, one a second, and the other nodes learn of it meanwhile.
+const MOVE_TIME: Duration = Duration::from_millis(1_300);
 
 /// Time for which the gate of a leaving node still takes work: callers are on their way off anyhow, and what
 /// the gate would refuse, others would have to carry.
@@ -148,7 +148,7 @@
             .load_full()
             .map(|u| Placement { service: Arc::clone(&u.service), slots: u.slots });
         self.control.placement(upstreams.into_iter().collect(), Health::Draining).await;
-        sleep((MOVE_TIME - SERVE_ON_TIME).min(limit / 4)).await;
+        sleep(MOVE_TIME.min(limit / 4)).await;
         self.shared.stopping.cancel();
         self.shared.work.close();
         while Instant::now() + CLOSE_TIME < until && !self.is_idle() {
--- a/pistachiolane/src/routing/mod.rs
+++ b/pistachiolane/src/routing/mod.rs
@@ -14,6 +14,6 @@
     estimate::{Estimate, ServiceNorm},
     pick::{Pick, PickRequest, pick},
     probe::{ProbeBudget, STALE_AFTER, next_probe},
-    service_table::{ServiceState, ServiceTable},
+    service_table::{NO_UPSTREAM_PAUSE, ServiceState, ServiceTable},
     table::RoutingTable,
 };
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -19,7 +19,7 @@
 const MAX_EJECTED_DIVISOR: usize = 3;
 
 /// Time after which an upstream may have come back where there is none: a process restarts within a second.
-const NO_UPSTREAM_PAUSE: Duration = Duration::from_millis(700);
+pub const NO_UPSTREAM_PAUSE: Duration = Duration::from_millis(700);
 
 /// Measurements of a service that outlive changes of its upstreams.
 #[derive(Debug)]
