--- a/lab/processes.sh
+++ b/lab/processes.sh
@@ -20,7 +20,7 @@
         $bin/pistachiolane node --listen 127.0.0.1:$port --gate-listen 127.0.0.1:$((port + 1)) \
             --control-listen 127.0.0.1:$((port + 2)) --admin-listen 127.0.0.1:$((port + 3)) \
             --platform http://127.0.0.1:7090 --region "${place%/*}" --zone "${place#*/}" \
-            2>"$logs/node$n" & pids+=($!); nodes+=($!)
+            >"$logs/node$n" 2>&1 & pids+=($!); nodes+=($!)
         entries+=("127.0.0.1:$port")
         $bin/lab upstream --node 127.0.0.1:$((port + 3)) --service $service >"$logs/upstream$n" & pids+=($!)
         n=$((n + 1))
