--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -22,7 +22,7 @@
 const DIRECT_ATTEMPTS: u32 = 2;
 
 /// Gates whose queue is tried before the service counts as full.
-const QUEUE_ATTEMPTS: u32 = 4;
+const QUEUE_ATTEMPTS: u32 = 2;
 
 /// Expected utilisation from which an attempt is allowed to queue at once.
 const QUEUE_UTILISATION: f64 = 1.5;
