A node asks several seeds at once when it learns of them

Seeds from the store were first asked with the next period of 500 ms, one at a time, and some were not up yet. Change: the next timer asks four, every 100 ms while the node knows nobody. Test: node_asks_its_seeds_at_once.

--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -9,9 +9,9 @@
         merge::supersedes,
         timing::{
             ACK_TIMEOUT, CROSS_REGION_PINGS_PER_SECOND, CROSS_REGION_SPREADERS, EXCHANGE_PERIOD,
-            EXCHANGE_TIME_PER_MEMBER, INDIRECT_PROBES, INDIRECT_TIMEOUT, JOIN_TIMEOUT, KEEP_DEAD,
-            LOAD_FANOUT, PAUSE, PROBE_PERIOD, REJOIN_PERIOD, SPREAD_FANOUT, SPREAD_PERIOD,
-            SUSPECTS_PERIOD, SUSPICION,
+            EXCHANGE_TIME_PER_MEMBER, INDIRECT_PROBES, INDIRECT_TIMEOUT, JOIN_PERIOD, JOIN_PINGS,
+            JOIN_TIMEOUT, KEEP_DEAD, LOAD_FANOUT, PAUSE, PROBE_PERIOD, REJOIN_PERIOD,
+            SPREAD_FANOUT, SPREAD_PERIOD, SUSPECTS_PERIOD, SUSPICION,
         },
         updates::Updates,
     },
@@ -165,6 +165,8 @@
             self.seeds_asked |= seed == self.own.control;
             if seed != self.own.control && !self.seeds.contains(&seed) {
                 self.seeds.push(seed);
+                // The next timer asks them, rather than the next period.
+                self.rejoin_at = self.timer_at;
             }
         }
     }
@@ -285,8 +287,9 @@
         }
         if now >= self.rejoin_at {
             let alone = self.is_empty();
-            self.rejoin_at = now + if alone { PROBE_PERIOD * 2 } else { REJOIN_PERIOD };
-            self.probe_lost(rng, actions);
+            self.rejoin_at = now + if alone { JOIN_PERIOD } else { REJOIN_PERIOD };
+            let seeds = if alone { JOIN_PINGS } else { 1 };
+            self.probe_lost(rng, seeds, actions);
         }
     }
 
@@ -439,7 +442,12 @@
         self.ping_unwatched(node, address, actions);
     }
 
-    fn probe_lost<R: Rng>(&mut self, rng: &mut R, actions: &mut Vec<MembershipAction>) {
+    fn probe_lost<R: Rng>(
+        &mut self,
+        rng: &mut R,
+        seeds: usize,
+        actions: &mut Vec<MembershipAction>,
+    ) {
         let dead: Vec<(u64, SocketAddr)> = self
             .records()
             .filter(|r| r.health == Health::Dead)
@@ -450,10 +458,10 @@
             self.ping_dead(node, address, actions);
         }
         let known: Vec<SocketAddr> = self.living().map(|r| r.control).collect();
-        let lost: Vec<SocketAddr> =
+        let mut lost: Vec<SocketAddr> =
             self.seeds.iter().copied().filter(|s| !known.contains(s)).collect();
-        if !lost.is_empty() {
-            let seed = lost[rng.random_range(0..lost.len())];
+        lost.shuffle(rng);
+        for seed in lost.into_iter().take(seeds) {
             self.ping_unwatched(ANY_NODE, seed, actions);
         }
     }
--- a/pistachiolane/src/membership/timing.rs
+++ b/pistachiolane/src/membership/timing.rs
@@ -52,3 +52,9 @@
 
 /// Members of the region that hear of a change of a gate's load at once; the others with its next answer to them.
 pub const LOAD_FANOUT: usize = 12;
+
+/// Time between two rounds of pings to seeds while a node knows nobody: hosts that start together are up within 0.3 s.
+pub const JOIN_PERIOD: Duration = Duration::from_millis(100);
+
+/// Seeds pinged in such a round; some may not be up yet.
+pub const JOIN_PINGS: usize = 4;
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -9,7 +9,7 @@
             AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec, NotRunReason, Outcome,
         },
         limits::{RefusalReason, TokenBucket},
-        membership::{Members, MembershipEvent},
+        membership::{Members, MembershipAction, MembershipEvent},
         routing::{Candidate, Distance, ServiceTable},
         schema::{AttemptId, Settlement, WorkKind},
         tick::Tick,
@@ -216,6 +216,21 @@
     assert!(members.has_joined(Tick(3)));
 }
 
+/// All hosts come back at once after a loss of power: seeds are asked with the next timer, several, and soon again.
+#[test]
+fn node_asks_its_seeds_at_once() {
+    let mut members = Members::new(Tick(0), member(1), Vec::new());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let pings = |members: &mut Members, rng: &mut SmallRng, ms: u64| {
+        let actions = members.step(Tick(ms * 1_000), rng, MembershipEvent::Timer);
+        actions.iter().filter(|a| matches!(a, MembershipAction::Send(..))).count()
+    };
+    assert_eq!(pings(&mut members, &mut rng, 20), 0);
+    members.add_seeds((10..20).map(|port| ([127, 0, 0, 1], port).into()));
+    assert!(pings(&mut members, &mut rng, 40) >= 3);
+    assert!(pings(&mut members, &mut rng, 160) >= 3);
+}
+
 /// Grey upstreams that turn every request away draw each further arrival from the retry budget.
 #[test]
 fn shed_draws_on_the_retry_budget() {
