Cold upstreams aren't ejected

Cause: trace of a recovery: two upstreams ejected in the first second after the start, when there is least room. Test: eject_spares_the_cold.

--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -4,6 +4,7 @@
     super::Candidate,
     crate::{
         limits::{Average, Quantile, RetryBudget},
+        schema::GateState,
         tick::Tick,
     },
     std::{sync::Arc, time::Duration},
@@ -92,8 +93,10 @@
         let mut ejected = Vec::new();
         for candidate in &self.candidates {
             let slow = candidate.last_report().latency_us > bound;
-            if !slow || out >= most || candidate.is_ejected(now) || candidate.is_in_slow_start(now)
-            {
+            // A cold upstream is slow for a while, as it says itself.
+            let starting =
+                candidate.is_in_slow_start(now) || candidate.state() == GateState::Warming;
+            if !slow || starting || out >= most || candidate.is_ejected(now) {
                 continue;
             }
             candidate.eject(now);
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -180,3 +180,15 @@
     table.candidates[1].report(at, &LoadReport { slowness_percent: 60, ..report(1, 2, 200_000) });
     assert_eq!(picks(&table, &[], true), [expected]);
 }
+
+/// All hosts are back after a loss of power: a cold upstream is no straggler.
+#[test_case(GateState::Warming, 0; "cold")]
+#[test_case(GateState::Ready, 1; "warm")]
+fn eject_spares_the_cold(state: GateState, expected: usize) {
+    let table = table(&[Distance::Zone; 4]);
+    for candidate in &table.candidates[1..] {
+        candidate.report(NOW, &report(1, 2, 10_000));
+    }
+    table.candidates[0].report(NOW, &LoadReport { state, ..report(1, 2, 90_000) });
+    assert_eq!(table.eject_stragglers(NOW).len(), expected);
+}
