--- a/pistachiolane/src/node/announcements.rs
+++ b/pistachiolane/src/node/announcements.rs
@@ -63,7 +63,11 @@
     let now = shared.now();
     shared.admission.gate.set_usable_percent(shared.tunables.load().usable_slots);
     shared.upstream.store(Some(Arc::new(next.clone())));
-    shared.admission.announce(now, &next.service, next.slots, draining);
+    let connections = shared.tree.load().routes().and_then(|r| r.connections(&next.service));
+    // Each request has a connection of its own.
+    let slots =
+        connections.map_or(next.slots, |most| next.slots.min(most.min(u16::MAX.into()) as u16));
+    shared.admission.announce(now, &next.service, slots, draining);
     if next.cold_ms > 0 {
         shared.admission.gate.warm_up(now, Duration::from_millis(u64::from(next.cold_ms)));
     }
--- a/pistachiolane/src/node/dialect.rs
+++ b/pistachiolane/src/node/dialect.rs
@@ -22,8 +22,6 @@
     pub signature: Option<HeaderName>,
     /// From the upstream: its load, and how it is read.
     pub load: Option<(HeaderName, ReadLoad)>,
-    /// From the upstream: which instance it is.
-    pub instance: Option<HeaderName>,
     /// Whether callers read fractions of a second in `Retry-After`.
     pub fractional_retry_after: bool,
 }
@@ -53,7 +51,6 @@
             not_run: None,
             signature: None,
             load: None,
-            instance: None,
             fractional_retry_after: false,
         }
     }
