--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -28,7 +28,7 @@
 const QUEUE_UTILISATION: f64 = 1.5;
 
 /// Expected utilisation up to which a hedge is sent: a second copy of the work is no help to a busy service.
-const HEDGE_UTILISATION: f64 = 0.6;
+const HEDGE_UTILISATION: f64 = 0.9;
 
 /// Wait before a gate is asked again about a running or unreachable attempt.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
