An upstream that drained stays gone after its silence

Change: expiry of a draining incarnation puts it among those that are gone. Ruled out: the farewell, which was kept already. Test: draining_is_final_after_silence; red before (effect Changed), green after. Conclusion: a leaving upstream gets no new work whatever arrives late.

--- a/pistachiolane/src/membership/local_upstream.rs
+++ b/pistachiolane/src/membership/local_upstream.rs
@@ -68,12 +68,24 @@
     }
 
     /// Forgets the upstream if it has been silent for `limit`; `true` if it was known.
+    ///
+    /// That it drained is kept: an announcement from before it may arrive later still.
     pub fn expire(&mut self, now: Tick, limit: Duration) -> bool {
-        let silent = self.known.as_ref().is_some_and(|k| now.since(k.heard_at) >= limit);
-        if silent {
-            self.known = None;
+        let Some(silent) = self.known.take_if(|k| now.since(k.heard_at) >= limit) else {
+            return false;
+        };
+        let Announcement { draining, instance, started_ms, .. } = silent.announcement;
+        if draining {
+            self.remember_gone(instance, started_ms);
         }
-        silent
+        true
+    }
+
+    fn remember_gone(&mut self, instance: String, started_ms: u64) {
+        if self.gone.len() == REMEMBERED {
+            self.gone.pop_front();
+        }
+        self.gone.push_back((instance, started_ms));
     }
 
     fn announced(&mut self, now: Tick, mut next: Announcement) -> NewsEffect {
@@ -106,18 +118,16 @@
         };
         let found = current.filter(matches);
         let started_ms = found.as_ref().map_or(started_ms, |a| a.started_ms);
-        if self.gone.len() == REMEMBERED {
-            self.gone.pop_front();
-        }
-        self.gone.push_back((instance, started_ms));
-        match found {
+        let effect = match found {
             Some(announcement) if !announcement.draining => {
                 announcement.draining = true;
                 NewsEffect::Changed
             }
             Some(_) => NewsEffect::Unchanged,
             None => NewsEffect::Outdated,
-        }
+        };
+        self.remember_gone(instance, started_ms);
+        effect
     }
 }
 
--- a/pistachiolane/tests/local_upstream.rs
+++ b/pistachiolane/tests/local_upstream.rs
@@ -56,6 +56,17 @@
     assert!(!upstream.current().unwrap().draining);
 }
 
+/// An announcement that a partition held back arrives after its sender, which drained, was forgotten.
+#[test]
+fn draining_is_final_after_silence() {
+    let mut upstream = LocalUpstream::new();
+    take(&mut upstream, announced("a", 100, 3, true));
+    assert!(upstream.expire(Tick(0) + Duration::from_secs(3), Duration::from_secs(3)));
+    assert_eq!(take(&mut upstream, announced("a", 100, 2, false)), NewsEffect::Outdated);
+    assert!(upstream.current().is_none());
+    assert_eq!(take(&mut upstream, announced("a", 200, 1, false)), NewsEffect::Changed);
+}
+
 #[test]
 fn leaving_is_final_for_the_incarnation() {
     let mut upstream = LocalUpstream::new();
