Slow callers, upstreams that are full, hosts turned away: stand-ins and bounds

Causes and changes: - A request's head was bounded only together with the idle time (18 s on the sites instead of 3 s). The caller's socket now times a head from its first byte. Also: CallSpec::new, and a dialect that reads only the figure that is used.

--- a/lab/src/faults/world.rs
+++ b/lab/src/faults/world.rs
@@ -392,16 +392,12 @@
         let service: Arc<str> = Arc::from(if lookup { "lookups" } else { "orders" });
         let host = self.rng.random_range(0..HOSTS);
         let spec = CallSpec {
-            kind,
-            deadline: self.now + Duration::from_millis(self.rng.random_range(50..4_000)),
-            is_retry: false,
             retry_percent: 20,
-            hedge: true,
-            replayable: true,
-            max_attempts: 3,
             target: Tick(u64::MAX),
-            class: 0,
-            priority: 0,
+            ..CallSpec::new(
+                kind,
+                self.now + Duration::from_millis(self.rng.random_range(50..4_000)),
+            )
         };
         self.truth.begin(call, kind);
         self.probe(host, &service);
--- a/lab/src/stand_in/platform.rs
+++ b/lab/src/stand_in/platform.rs
@@ -1,7 +1,10 @@
 //! The platform's store: revisions, conditional writes, watches, history, and the faults it has.
 
 use {
-    super::http_server::{Body, json, serve, text},
+    super::{
+        http_server::{Body, Cut, json, serve, text},
+        refusal::Refusal,
+    },
     http_body_util::BodyExt,
     hyper::{Method, Request, Response, StatusCode, body::Incoming},
     platform::{StoredMetadata, StoredObject},
@@ -104,13 +107,26 @@
         self: &Arc<Self>,
         address: SocketAddr,
         stop: CancellationToken,
+    ) -> std::io::Result<SocketAddr> {
+        self.start_for(address, stop, Arc::default()).await
+    }
+
+    /// Serves the API to one host, which may be turned away while others are served.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be bound.
+    pub async fn start_for(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        stop: CancellationToken,
+        refusal: Arc<Refusal>,
     ) -> std::io::Result<SocketAddr> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let platform = Arc::clone(self);
         tokio::spawn(serve(listener, stop, move |req| {
-            let platform = Arc::clone(&platform);
-            async move { platform.answer(req).await }
+            let (platform, refusal) = (Arc::clone(&platform), Arc::clone(&refusal));
+            async move { platform.answer_host(req, &refusal).await }
         }));
         Ok(address)
     }
@@ -131,6 +147,21 @@
         }
     }
 
+    async fn answer_host(
+        &self,
+        req: Request<Incoming>,
+        refusal: &Refusal,
+    ) -> Result<Response<Body>, Cut> {
+        if let Some(res) = refusal.answer().await? {
+            return Ok(res);
+        }
+        // A watch that waits is cut off when its host is turned away.
+        tokio::select! {
+            res = self.answer(req) => Ok(res),
+            cut = refusal.begun() => Err(cut),
+        }
+    }
+
     async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
         let delay = self.faults.delay_ms.load(Ordering::Relaxed);
         sleep(Duration::from_millis(delay)).await;
--- /dev/null
+++ b/lab/src/stand_in/refusal.rs
@@ -0,0 +1,56 @@
+//! How the platform's store turns single hosts away.
+
+use {
+    super::http_server::{Body, Cut, text},
+    hyper::{Response, StatusCode},
+    tokio::sync::watch,
+};
+
+/// A way in which the store turns a host away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalKind {
+    /// Calls are answered with a status.
+    Status(StatusCode),
+    /// Connections are cut.
+    Cut,
+    /// Calls are not answered.
+    Silence,
+}
+
+/// Whether a host is turned away, and how.
+#[derive(Debug)]
+pub struct Refusal {
+    kind: watch::Sender<Option<RefusalKind>>,
+}
+
+impl Refusal {
+    /// Turns the host away, or serves it again.
+    pub fn set(&self, kind: Option<RefusalKind>) {
+        self.kind.send_replace(kind);
+    }
+
+    /// The answer to a call of the host, if it is turned away.
+    pub(super) async fn answer(&self) -> Result<Option<Response<Body>>, Cut> {
+        let kind = *self.kind.borrow();
+        match kind {
+            None => Ok(None),
+            Some(RefusalKind::Status(code)) => Ok(Some(text(code, ""))),
+            Some(RefusalKind::Cut) => Err(Cut),
+            Some(RefusalKind::Silence) => std::future::pending().await,
+        }
+    }
+
+    /// Waits until the host is turned away.
+    pub(super) async fn begun(&self) -> Cut {
+        let mut kind = self.kind.subscribe();
+        // The sender is this refusal itself and cannot go first.
+        let _begun = kind.wait_for(Option::is_some).await;
+        Cut
+    }
+}
+
+impl Default for Refusal {
+    fn default() -> Self {
+        Self { kind: watch::Sender::new(None) }
+    }
+}
--- a/lab/src/stand_in/upstream.rs
+++ b/lab/src/stand_in/upstream.rs
@@ -123,7 +123,7 @@
         let upstream = Arc::clone(self);
         tokio::spawn(serve(listener, stop.clone(), move |req| {
             let upstream = Arc::clone(&upstream);
-            async move { upstream.answer(req).await }
+            async move { Ok(upstream.answer(req).await) }
         }));
         tokio::spawn(Arc::clone(self).announce(address, node, stop));
         Ok(address)
--- a/pistachiolane/src/attempt/call_spec.rs
+++ b/pistachiolane/src/attempt/call_spec.rs
@@ -2,6 +2,12 @@
 
 use crate::{schema::WorkKind, tick::Tick};
 
+/// Retries and hedges for each hundred requests when nothing else is asked for, as in the settings of a service.
+const DEFAULT_RETRY_PERCENT: u32 = 10;
+
+/// Upstreams that may run a request when nothing else is asked for, as in the settings of a service.
+const DEFAULT_MAX_ATTEMPTS: u32 = 3;
+
 record! {
     /// What a call is allowed to do.
     #[derive(Copy)]
@@ -28,3 +34,21 @@
         pub priority: u8,
     }
 }
+
+impl CallSpec {
+    /// A call with the usual limits, whose answer has its full value until the deadline.
+    pub fn new(kind: WorkKind, deadline: Tick) -> Self {
+        Self {
+            kind,
+            deadline,
+            is_retry: false,
+            retry_percent: DEFAULT_RETRY_PERCENT,
+            hedge: true,
+            replayable: true,
+            max_attempts: DEFAULT_MAX_ATTEMPTS,
+            target: deadline,
+            class: 0,
+            priority: 0,
+        }
+    }
+}
--- a/pistachiolane/src/cli/adapter.rs
+++ b/pistachiolane/src/cli/adapter.rs
@@ -1,11 +1,14 @@
 //! What the program is given by an adapter to where it runs.
 
 use {
-    crate::{node::Integration, settings::ProcessSettings},
+    crate::{
+        node::Integration,
+        settings::{DerivedSettings, ProcessSettings},
+    },
     std::fmt,
 };
 
-type Derive = Box<dyn Fn(&dyn Fn(&str) -> Option<String>) -> Vec<(&'static str, String)>>;
+type Derive = Box<dyn Fn(&dyn Fn(&str) -> Option<String>) -> DerivedSettings>;
 
 /// Adapter to where the program runs.
 pub struct Adapter {
--- a/pistachiolane/src/cli/node_options.rs
+++ b/pistachiolane/src/cli/node_options.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Adapter, args::NodeArgs},
-    crate::settings::{ProcessSettings, SettingsFile, SettingsSource},
+    crate::settings::{DerivedSettings, ProcessSettings, SettingsFile, SettingsSource},
     log::LevelFilter,
     std::path::PathBuf,
 };
@@ -20,6 +20,17 @@
     pub settings: ProcessSettings,
     /// Log level.
     pub level: LevelFilter,
+    /// What was given and not used, and why.
+    pub skipped: Vec<String>,
+}
+
+impl NodeOptions {
+    /// Logs what was given and not used.
+    pub fn log_skipped(&self) {
+        for why in &self.skipped {
+            log::warn!(target: "node", "setting skipped: {why}");
+        }
+    }
 }
 
 /// Path of the settings file, if there is one.
@@ -38,14 +49,14 @@
         None => SettingsFile::default(),
     };
     let env = |name: &str| std::env::var(name).ok().or_else(|| file.get(name));
-    let derived = (adapter.settings)(&env);
-    let derived = |name: &str| derived.iter().find(|(n, _)| *n == name).map(|(_, v)| v.clone());
+    let DerivedSettings { values, skipped } = (adapter.settings)(&env);
+    let derived = |name: &str| values.iter().find(|(n, _)| *n == name).map(|(_, v)| v.clone());
     let flag = |name: &str| args.flag(name);
     let source = SettingsSource { flag: &flag, env: &env, derived: &derived };
     let level = flag("log-level").or_else(|| env(LOG_LEVEL_VARIABLE));
     let level = level.map_or(Some(LevelFilter::Info), |l| l.parse().ok());
     match (ProcessSettings::new(&source), level) {
-        (Ok(settings), Some(level)) => Ok(NodeOptions { settings, level }),
+        (Ok(settings), Some(level)) => Ok(NodeOptions { settings, level, skipped }),
         (settings, level) => {
             let mut faults = settings.err().map(|e| e.faults).unwrap_or_default();
             if level.is_none() {
--- a/pistachiolane/src/cli/node_process.rs
+++ b/pistachiolane/src/cli/node_process.rs
@@ -29,6 +29,7 @@
         eprintln!("{e}");
         return Exit::Failed;
     }
+    options.log_skipped();
     match runtime() {
         Ok(runtime) => {
             let exit = runtime.block_on(serve(args, adapter, options));
@@ -107,7 +108,10 @@
         }
         seen = file;
         match node_options::read(args, adapter) {
-            Ok(options) => node.reload(cause, &options.settings),
+            Ok(options) => {
+                options.log_skipped();
+                node.reload(cause, &options.settings);
+            }
             Err(faults) => {
                 log::error!(
                     target: "node", cause, faults = faults.join("; ").as_str();
--- a/pistachiolane/src/node/admin.rs
+++ b/pistachiolane/src/node/admin.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        accept::accept,
         body::Body,
         control_loop::ControlHandle,
         node_handle::NodeHandle,
@@ -50,10 +51,7 @@
     /// Accepts connections for the life of its task.
     pub async fn serve(self, listener: TcpListener) {
         loop {
-            let Ok((socket, _)) = listener.accept().await else {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            };
+            let socket = accept(&listener, "admin").await;
             let admin = self.clone();
             let service = service_fn(move |req| {
                 let admin = admin.clone();
--- a/pistachiolane/src/node/caller_socket.rs
+++ b/pistachiolane/src/node/caller_socket.rs
@@ -18,10 +18,12 @@
         pin::Pin,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         task::{Context, Poll, ready},
+        time::Duration,
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
+        time::{Sleep, sleep},
     },
 };
 
@@ -49,6 +51,10 @@
     /// Whether what follows is left to the HTTP server alone.
     opaque: bool,
     ended: Option<io::Result<()>>,
+    /// Time for a head, from its first byte to its last.
+    head_timeout: Duration,
+    /// When the time of the head that has begun is over.
+    head_due: Option<Pin<Box<Sleep>>>,
 }
 
 /// A caller's socket, for the HTTP server.
@@ -64,8 +70,9 @@
 }
 
 impl CallerSocket {
-    /// The socket for the HTTP server, and what watches it.
-    pub fn new(stream: TcpStream) -> (Self, CallerWatch) {
+    /// The socket for the HTTP server, and what watches it. A head that takes longer than `head_timeout` ends the
+    /// connection.
+    pub fn new(stream: TcpStream, head_timeout: Duration) -> (Self, CallerWatch) {
         let inner = Inner {
             stream,
             ahead: BytesMut::new(),
@@ -74,6 +81,8 @@
             heads: VecDeque::new(),
             opaque: false,
             ended: None,
+            head_timeout,
+            head_due: None,
         };
         let inner = Arc::new(Mutex::new(inner));
         (Self { inner: Arc::clone(&inner) }, CallerWatch { inner })
@@ -143,12 +152,27 @@
                     self.scanned += length;
                     self.lengths.push_back(length);
                     self.heads.push_back(head);
+                    self.head_due = None;
                 }
                 Err(Opaque) => self.opaque = true,
             }
         }
     }
 
+    /// Waits for the end of the time of a head that has begun; for ever if none has.
+    fn poll_head_due(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.opaque || self.scanned >= self.ahead.len() as u64 {
+            return Poll::Pending;
+        }
+        let timeout = self.head_timeout;
+        ready!(self.head_due.get_or_insert_with(|| Box::pin(sleep(timeout))).as_mut().poll(cx));
+        log::info!(
+            target: "entry", limit_ms = timeout.as_millis() as u64, bytes = self.ahead.len();
+            "head of a request not complete in time, connection closed"
+        );
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Bytes that the HTTP server may have now: no further than the end of one request.
     fn available(&self) -> usize {
         match self.lengths.front() {
@@ -241,7 +265,9 @@
             if let Some(ended) = &mut inner.ended {
                 return Poll::Ready(std::mem::replace(ended, Ok(())));
             }
-            ready!(inner.poll_fill(cx));
+            if inner.poll_fill(cx).is_pending() {
+                return inner.poll_head_due(cx);
+            }
         }
     }
 }
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -270,7 +270,7 @@
         let regions: HashSet<&Arc<str>> = self.members.living().map(|r| &r.region).collect();
         let (members, regions) = (living.len() as u64, regions.len() as u64);
         self.shared.store.share_budget(members, regions, watches);
-        self.shared.share_retries(members);
+        self.shared.share_retries();
         self.shared.watch_rank.store(rank, Ordering::Relaxed);
     }
 
--- a/pistachiolane/src/node/control_service.rs
+++ b/pistachiolane/src/node/control_service.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        control_loop::ControlHandle, gate_server::GateServer, postcard_codec::PostcardCodec,
-        shared::Shared,
+        accept::accept, control_loop::ControlHandle, gate_server::GateServer,
+        postcard_codec::PostcardCodec, shared::Shared,
     },
     crate::schema::{
         ExchangeReply, MemberRecord, SettleRequest, Settlement, Subtree, SubtreeVersion,
@@ -59,11 +59,8 @@
     /// Accepts connections for the life of its task.
     pub async fn serve(self, listener: TcpListener) {
         loop {
-            if let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(self.clone().connection(socket));
-            } else {
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
+            let socket = accept(&listener, "control").await;
+            tokio::spawn(self.clone().connection(socket));
         }
     }
 
--- a/pistachiolane/src/node/dialect.rs
+++ b/pistachiolane/src/node/dialect.rs
@@ -2,8 +2,8 @@
 
 use hyper::header::HeaderName;
 
-/// Reads the load in a header's text.
-pub type ReadLoad = fn(&str) -> Option<UpstreamLoad>;
+/// Reads how long work takes at this moment from a header, in percent of the usual time.
+pub type ReadSlowness = fn(&str) -> Option<u32>;
 
 /// Headers of callers and upstreams. Headers that are `None` are neither read nor set.
 #[derive(Clone, Debug)]
@@ -20,26 +20,12 @@
     pub not_run: Option<HeaderName>,
     /// From the upstream: present on each answer that is the service's own.
     pub signature: Option<HeaderName>,
-    /// From the upstream: its load, and how it is read.
-    pub load: Option<(HeaderName, ReadLoad)>,
+    /// From the upstream: a header that tells how much its neighbours slow it down, and how it is read.
+    pub slowness: Option<(HeaderName, ReadSlowness)>,
     /// Whether callers read fractions of a second in `Retry-After`.
     pub fractional_retry_after: bool,
 }
 
-value! {
-    /// Load of an upstream by its own account.
-    pub struct UpstreamLoad {
-        /// Requests running.
-        pub running: u32,
-        /// Requests waiting for a slot.
-        pub waiting: u32,
-        /// Requests that it runs at once.
-        pub slots: u32,
-        /// How long work takes at this moment, 100 as usual; its neighbours slow it down.
-        pub slowness_percent: Option<u32>,
-    }
-}
-
 impl Dialect {
     /// The product's own interface.
     pub fn own() -> Self {
@@ -50,15 +36,15 @@
             caller_service: None,
             not_run: None,
             signature: None,
-            load: None,
+            slowness: None,
             fractional_retry_after: false,
         }
     }
 
     /// Headers that only the system may set on a request, and that callers' own are removed of.
     pub fn set_by_system(&self) -> impl Iterator<Item = &HeaderName> {
-        let load = self.load.as_ref().map(|(name, _)| name);
+        let slowness = self.slowness.as_ref().map(|(name, _)| name);
         let names = [&self.expected_instance, &self.caller_service, &self.not_run, &self.signature];
-        names.into_iter().filter_map(Option::as_ref).chain(load)
+        names.into_iter().filter_map(Option::as_ref).chain(slowness)
     }
 }
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        accept::accept,
         attempt_driver::{CallEnd, Driver, OutgoingBody, OutgoingRequest},
         body::{Body, stream},
         caller_socket::CallerSocket,
@@ -56,9 +57,6 @@
 /// Time after which unacknowledged bytes break a caller's connection.
 const CALLER_SILENCE: Duration = Duration::from_secs(5);
 
-/// Pause after a failed accept; descriptors are short, and others will close.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-
 /// Time between two looks at whether the last call that runs ahead of its turn was answered.
 const PIPELINE_POLL: Duration = Duration::from_millis(10);
 
@@ -128,13 +126,9 @@
     pub async fn serve(self, listener: TcpListener) {
         let stopping = self.driver.shared.stopping.clone();
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+            tokio::select! {
+                socket = accept(&listener, "callers") => self.spawn_connection(socket),
                 () = stopping.cancelled() => return,
-            };
-            match accepted {
-                Ok((socket, _)) => self.spawn_connection(socket),
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
     }
@@ -150,20 +144,21 @@
     }
 
     async fn connection(self, socket: TcpStream, shared: &Shared) {
-        let (socket, watch) = CallerSocket::new(socket);
+        let limits = caller_limits(shared);
+        let ms = |ms: u32| Duration::from_millis(u64::from(ms));
+        let head_timeout = ms(limits.header_timeout_ms);
+        let (socket, watch) = CallerSocket::new(socket, head_timeout);
         let pipeline = Pipeline::new(watch);
         let service = service_fn(|req: Request<Incoming>| {
             let (entry, pipeline) = (self.clone(), pipeline.clone());
             async move { Ok::<_, Infallible>(entry.request(req, &pipeline).await) }
         });
-        let limits = caller_limits(shared);
         let head_bytes = limits.max_header_bytes.max(MIN_HEAD_BYTES);
-        let ms = |ms: u32| Duration::from_millis(u64::from(ms));
         let mut http = auto::Builder::new(TokioExecutor::new());
         http.http1()
             .timer(TokioTimer::new())
-            // Covers an idle connection and the head that ends its idleness.
-            .header_read_timeout(ms(limits.idle_timeout_ms) + ms(limits.header_timeout_ms))
+            // Covers an idle connection and the head that ends its idleness; the socket bounds the head alone.
+            .header_read_timeout(ms(limits.idle_timeout_ms) + head_timeout)
             .max_buf_size(head_bytes as usize)
             .half_close(false);
         http.http2().timer(TokioTimer::new()).max_header_list_size(head_bytes);
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
+        accept::accept,
         body::{Body, Guarded, full, stream},
-        dialect::UpstreamLoad,
         headers,
         queue_task::{QueueItem, QueueVerdict, SlotGuard},
         responses,
@@ -141,11 +141,7 @@
     /// Serves connections of other nodes until the listener is dropped with its task.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
-            let Ok((socket, _)) = listener.accept().await else {
-                // Out of descriptors, most likely; others will close.
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            };
+            let socket = accept(&listener, "gate").await;
             let _no_effect = socket.set_nodelay(true);
             let gate = Arc::clone(&self);
             self.open.spawn(async move { gate.connection(socket).await });
@@ -404,16 +400,14 @@
         if dialect.signature.as_ref().is_some_and(|name| !signed(name)) {
             return Judged::Foreign("an answer without the service's signature");
         }
-        self.observe_load(headers);
+        self.observe_slowness(headers);
         Judged::Answer
     }
 
-    fn observe_load(&self, headers: &hyper::HeaderMap) {
-        let load: Option<UpstreamLoad> =
-            self.shared.dialect.load.as_ref().and_then(|(name, read)| {
-                headers.get(name).and_then(|v| v.to_str().ok()).and_then(read)
-            });
-        if let Some(percent) = load.and_then(|l| l.slowness_percent) {
+    fn observe_slowness(&self, headers: &hyper::HeaderMap) {
+        let told = self.shared.dialect.slowness.as_ref();
+        if let Some(percent) = told.and_then(|(name, read)| read(headers.get(name)?.to_str().ok()?))
+        {
             let (now, slowness) = (self.shared.now(), &self.shared.admission.gate.slowness);
             slowness.observe(now, percent);
             if slowness.claim_news(now) {
@@ -458,7 +452,7 @@
         let mut res = Response::from_parts(parts, body);
         headers::strip(res.headers_mut());
         headers::strip_hop_by_hop(res.headers_mut());
-        if let Some((name, _)) = &self.shared.dialect.load {
+        if let Some((name, _)) = &self.shared.dialect.slowness {
             res.headers_mut().remove(name);
         }
         self.with_report(res)
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -1,5 +1,6 @@
 //! The shell of a node: sockets, tasks and clocks around the decision modules.
 
+mod accept;
 mod admin;
 mod announcements;
 mod attempt_driver;
@@ -30,7 +31,8 @@
 mod upstream_pool;
 
 pub use {
-    dialect::{Dialect, UpstreamLoad},
+    accept::accept,
+    dialect::Dialect,
     error::NodeError,
     integration::{Feed, Integration},
     node_handle::NodeHandle,
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -127,8 +127,10 @@
     /// Puts the settings in force that a running node can change, and names those that need a restart.
     pub fn reload(&self, cause: &str, settings: &ProcessSettings) {
         let old = self.shared.tunables.swap(Arc::new(settings.tunables));
-        let fixed = ProcessSettings { tunables: *old, ..settings.clone() };
-        let needs_restart = format!("{fixed:?}") != format!("{:?}", self.shared.settings);
+        let started =
+            ProcessSettings { tunables: settings.tunables, ..self.shared.settings.clone() };
+        let needs_restart = started != *settings;
+        self.shared.share_retries();
         let changed = *old != settings.tunables;
         log::info!(target: "node", cause, changed, needs_restart; "settings reloaded");
     }
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -86,8 +86,6 @@
     pub dialect: Dialect,
     /// Settings that change while the node runs.
     pub tunables: ArcSwap<Tunables>,
-    /// Retries that the node may keep in reserve for a service, in hundredths.
-    pub retry_reserve: AtomicU64,
     /// Counters.
     pub metrics: Metrics,
     /// Whether the node holds the newest settings that anyone could name.
@@ -133,7 +131,6 @@
             store: surroundings.store,
             dialect: surroundings.dialect,
             tunables,
-            retry_reserve: AtomicU64::new(u64::MAX),
             metrics: Metrics::new(),
             has_settings: AtomicBool::new(false),
             has_joined: AtomicBool::new(false),
@@ -194,11 +191,10 @@
     }
 
     /// Shares the fleet's reserve of retries out among its members.
-    pub fn share_retries(&self, members: u64) {
+    pub fn share_retries(&self) {
         let reserve = u64::from(self.tunables.load().retry_reserve);
-        let hundredths = reserve * RESERVE_PERCENT / members.max(1);
-        self.retry_reserve.store(hundredths.max(MIN_RESERVE), Ordering::Relaxed);
-        let hundredths = self.retry_reserve.load(Ordering::Relaxed);
+        let members = u64::try_from(self.metrics.members.get()).unwrap_or(1).max(1);
+        let hundredths = (reserve * RESERVE_PERCENT / members).max(MIN_RESERVE);
         for service in self.table.load().services() {
             service.state.retries.set_reserve(hundredths);
         }
--- a/pistachiolane/src/schema/wire.rs
+++ b/pistachiolane/src/schema/wire.rs
@@ -27,7 +27,7 @@
 }
 
 /// Keys that authenticate messages between nodes: the first signs, all verify.
-#[derive(Clone)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct FleetKey {
     keys: Vec<[u8; 32]>,
 }
--- a/pistachiolane/src/settings/mod.rs
+++ b/pistachiolane/src/settings/mod.rs
@@ -1,10 +1,12 @@
 //! Settings of the process: flags, environment variables and a file, checked together.
 
+mod derived_settings;
 mod file;
 mod process;
 mod tunables;
 
 pub use {
+    derived_settings::DerivedSettings,
     file::{FileError, SettingsFile},
     process::{Interface, ProcessSettings, SettingsError, SettingsSource},
     tunables::Tunables,
--- a/pistachiolane/src/settings/process.rs
+++ b/pistachiolane/src/settings/process.rs
@@ -20,7 +20,7 @@
 const MAX_NAME_BYTES: usize = 64;
 
 /// Checked settings of a node's process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ProcessSettings {
     /// Address for callers.
     pub listen: SocketAddr,
