--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -112,7 +112,11 @@
     log::info!(
         target: "node", node = format!("{node:016x}").as_str(), version = env!("CARGO_PKG_VERSION"),
         listen = at.listen.to_string().as_str(), gate = at.gate_listen.to_string().as_str(),
-        zone = &*at.zone, service = &*shared.own_service();
+        zone = &*at.zone, service = &*shared.own_service(),
+        stop_timeout_ms = at.tunables.stop_timeout.as_millis() as u64,
+        heartbeat_ms = at.tunables.heartbeat.as_millis() as u64,
+        retry_percent = at.tunables.retry_percent, retry_reserve = at.tunables.retry_reserve,
+        usable_slots = at.tunables.usable_slots;
         "started"
     );
     Ok(RunningNode { shared, control, gate })
