--- a/lab/src/cli/args.rs
+++ b/lab/src/cli/args.rs
@@ -1,6 +1,9 @@
 //! Arguments of the lab.
 
-use {gumdrop::Options, std::net::SocketAddr};
+use {
+    gumdrop::Options,
+    std::{net::SocketAddr, path::PathBuf},
+};
 
 /// Arguments of the program.
 #[derive(Debug, Options)]
@@ -40,6 +43,11 @@
     /// Routing policy.
     #[options(help = "the routing decisions beside simpler policies and an oracle")]
     Policy(PolicyArgs),
+    /// Fault soak.
+    #[options(
+        help = "real processes under faults from outside, and what callers and upstreams see"
+    )]
+    Soak(SoakArgs),
     /// Code from the schemas.
     #[options(help = "generate the types of schema/")]
     Schema(SchemaArgs),
@@ -119,6 +127,37 @@
     pub sizes: String,
 }
 
+/// Arguments of `soak`.
+#[derive(Debug, Options)]
+pub struct SoakArgs {
+    /// Help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Output for programs.
+    #[options(no_short, help = "print one JSON object")]
+    pub json: bool,
+    /// Seed.
+    #[options(no_short, meta = "N", help = "seed of the random numbers (1)", default = "1")]
+    pub seed: u64,
+    /// Duration.
+    #[options(no_short, meta = "M", help = "minutes of faults (1)", default = "1")]
+    pub minutes: f64,
+    /// Size.
+    #[options(no_short, meta = "N", help = "hosts, each with a process (6)", default = "6")]
+    pub hosts: usize,
+    /// Program.
+    #[options(no_short, meta = "PATH", help = "the program (beside this one)")]
+    pub program: Option<PathBuf>,
+    /// Logs.
+    #[options(
+        no_short,
+        meta = "DIR",
+        help = "where the processes' logs go (target/soak)",
+        default = "target/soak"
+    )]
+    pub logs: PathBuf,
+}
+
 /// Arguments of `schema`.
 #[derive(Debug, Options)]
 pub struct SchemaArgs {
--- a/lab/src/cli/run.rs
+++ b/lab/src/cli/run.rs
@@ -6,11 +6,13 @@
         stand_ins,
     },
     crate::{
-        added_latency, codegen, demo, drain, faults, membership, policy, report::Report, settings,
-        slopes,
+        added_latency, codegen, demo, drain, faults, membership, policy,
+        report::Report,
+        settings, slopes,
+        soak::{self, SoakSpec},
     },
     gumdrop::Options,
-    std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode},
+    std::{convert::Infallible, fmt::Display, path::Path, process::ExitCode, time::Duration},
 };
 
 /// Runs the command that the arguments name.
@@ -40,6 +42,16 @@
         Some(Command::Policy(args)) => {
             finish_report::<Infallible>(args.json, Ok(policy::run(args.seed, args.seconds)))
         }
+        Some(Command::Soak(args)) => {
+            let spec = SoakSpec {
+                seed: args.seed,
+                time: Duration::from_secs_f64(args.minutes * 60.0),
+                hosts: args.hosts,
+                program: args.program.unwrap_or_else(soak::program_beside),
+                logs: args.logs,
+            };
+            finish_report(args.json, block_on(soak::run(&spec)))
+        }
         Some(Command::Schema(args)) => finish(codegen::run(Path::new("."), args.check)),
         Some(Command::Platform(args)) => finish(block_on(stand_ins::platform(&args))),
         Some(Command::Upstream(args)) => finish(block_on(stand_ins::upstream(&args))),
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -97,6 +97,16 @@
         self.send(req.map_err(|_e| HttpError::Invalid)?).await
     }
 
+    /// Gets the status of an answer.
+    ///
+    /// # Errors
+    /// Fails when the answer does not come, or is cut.
+    pub async fn get_status(&self, uri: &str) -> Result<u16, HttpError> {
+        let req = Request::get(uri).body(Full::new(Bytes::new()));
+        let answer = self.send(req.map_err(|_e| HttpError::Invalid)?).await?;
+        Ok(answer.head.status().as_u16())
+    }
+
     /// Gets a text.
     ///
     /// # Errors
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod report;
 pub mod settings;
 pub mod slopes;
+pub mod soak;
 pub mod stand_in;
--- /dev/null
+++ b/lab/src/soak/host.rs
@@ -0,0 +1,418 @@
+//! A host of a soak: a process of the program, its upstream, and the links between them.
+
+use {
+    super::{
+        checks::{Checks, Promise, UpstreamRecord},
+        fault::LinkKind,
+        program::Program,
+    },
+    crate::{
+        fleet::{NodeAddresses, free_addresses, loopback},
+        http::HttpClient,
+        relay::Relay,
+        stand_in::{Capacity, PlatformStandIn, PlatformUpstream, Refusal},
+    },
+    rustix::process::Signal,
+    serde_json::json,
+    std::{
+        fmt::Write,
+        fs, io,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep, timeout},
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time between two announcements.
+const HEARTBEAT: Duration = Duration::from_millis(750);
+
+/// Time for an announcement to be acknowledged.
+const ACKNOWLEDGED: Duration = Duration::from_secs(1);
+
+/// Time for which a draining upstream serves on.
+const DRAIN: Duration = Duration::from_millis(2_500);
+
+/// Time after which another upstream may have the address.
+const ADDRESS_REUSE: Duration = Duration::from_secs(2);
+
+/// Time between the request to stop and the kill.
+const GRACE: Duration = Duration::from_secs(6);
+
+/// Time between two looks at whether a process has ended.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Whether something disturbs a thing, and how often that changed.
+#[derive(Debug, Default)]
+pub struct Marks {
+    ongoing: AtomicU64,
+    epoch: AtomicU64,
+    ended: Mutex<Option<Instant>>,
+}
+
+/// A disturbance, until it is dropped.
+#[derive(Debug)]
+pub struct Disturbed(Arc<Marks>);
+
+impl Marks {
+    /// Begins a disturbance.
+    pub fn begin(self: &Arc<Self>) -> Disturbed {
+        self.ongoing.fetch_add(1, Ordering::SeqCst);
+        self.epoch.fetch_add(1, Ordering::SeqCst);
+        Disturbed(Arc::clone(self))
+    }
+
+    /// The present calm, to be compared with a later one; `None` while something disturbs.
+    pub fn calm(&self) -> Option<u64> {
+        let epoch = self.epoch.load(Ordering::SeqCst);
+        (self.ongoing.load(Ordering::SeqCst) == 0).then_some(epoch)
+    }
+
+    /// Whether nothing has disturbed since `since`.
+    pub fn is_calm_since(&self, since: Instant) -> bool {
+        let ended = *self.ended.lock().unwrap_or_else(PoisonError::into_inner);
+        self.calm().is_some() && ended.is_none_or(|ended| ended < since)
+    }
+}
+
+impl Drop for Disturbed {
+    fn drop(&mut self) {
+        *self.0.ended.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        self.0.ongoing.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+#[derive(Debug)]
+struct UpstreamSlot {
+    upstream: Arc<PlatformUpstream>,
+    draining: bool,
+    sequence: u64,
+    started_ms: u64,
+}
+
+/// What all hosts of a soak share.
+#[derive(Debug)]
+pub struct Surroundings {
+    /// The program under test.
+    pub program: PathBuf,
+    /// Where settings and logs go.
+    pub directory: PathBuf,
+    /// What was seen.
+    pub checks: Checks,
+    /// Upstreams that ran.
+    pub upstreams: Mutex<Vec<UpstreamRecord>>,
+    /// Start of the soak.
+    pub started: Instant,
+    /// Numbers of upstreams.
+    pub names: AtomicU64,
+    /// Client of announcements and probes.
+    pub http: HttpClient,
+}
+
+impl Surroundings {
+    /// A soak of a program whose files go to a directory.
+    pub fn new(program: PathBuf, directory: PathBuf) -> Self {
+        Self {
+            program,
+            directory,
+            checks: Checks::default(),
+            upstreams: Mutex::default(),
+            started: Instant::now(),
+            names: AtomicU64::new(1),
+            http: HttpClient::new(),
+        }
+    }
+}
+
+/// A host.
+#[derive(Debug)]
+pub struct Host {
+    /// Its name.
+    pub name: String,
+    /// Where callers reach it.
+    pub callers: Relay,
+    /// Turns it away from the store.
+    pub refusal: Arc<Refusal>,
+    /// Disturbances of its answers.
+    pub answers: Arc<Marks>,
+    /// Disturbances of what it knows.
+    pub knowledge: Arc<Marks>,
+    /// Starts of its process.
+    pub starts: AtomicU64,
+    service: &'static str,
+    addresses: NodeAddresses,
+    more: NodeAddresses,
+    gate: Relay,
+    upstream_link: Relay,
+    store: SocketAddr,
+    program: Mutex<Program>,
+    restarting: AtomicBool,
+    replacing: AtomicBool,
+    upstream: Mutex<UpstreamSlot>,
+    around: Arc<Surroundings>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Host {
+    /// Starts the process and the upstream of a host.
+    ///
+    /// # Errors
+    /// Fails when a socket, a file or the process cannot be had.
+    pub async fn start(
+        index: usize,
+        store: &Arc<PlatformStandIn>,
+        around: Arc<Surroundings>,
+    ) -> io::Result<Arc<Self>> {
+        let name = format!("host-{index}");
+        let (addresses, more) = (free_addresses().await?, free_addresses().await?);
+        let refusal = Arc::<Refusal>::default();
+        let stop = CancellationToken::new();
+        let store = store.start_for(loopback(0), stop, Arc::clone(&refusal)).await?;
+        let links = (Relay::start().await?, Relay::start().await?, Relay::start().await?);
+        let (callers, gate, upstream_link) = links;
+        callers.set_target(addresses.listen);
+        gate.set_target(addresses.gate);
+        let upstream = new_upstream(&around, &upstream_link).await?;
+        let settings = around.directory.join(format!("{name}.env"));
+        let addresses = NodeAddresses { advertised_gate: gate.address, ..addresses };
+        let service = if index.is_multiple_of(2) { "booking" } else { "sorting" };
+        fs::write(&settings, settings_text(index, &addresses, &more, store, service, 80))?;
+        let log = around.directory.join(format!("{name}-1.log"));
+        let program = Program::start(&around.program, &settings, &log)?;
+        let host = Arc::new(Self {
+            name,
+            callers,
+            refusal,
+            answers: Arc::default(),
+            knowledge: Arc::default(),
+            starts: AtomicU64::new(1),
+            service,
+            addresses,
+            more,
+            gate,
+            upstream_link,
+            store,
+            program: Mutex::new(program),
+            restarting: AtomicBool::new(false),
+            replacing: AtomicBool::new(false),
+            upstream: Mutex::new(upstream),
+            around,
+        });
+        tokio::spawn(Arc::clone(&host).announce_for_ever());
+        Ok(host)
+    }
+
+    /// A link of the host.
+    pub fn link(&self, kind: LinkKind) -> &Relay {
+        match kind {
+            LinkKind::Callers => &self.callers,
+            LinkKind::Gate => &self.gate,
+            LinkKind::Upstream => &self.upstream_link,
+        }
+    }
+
+    /// Whether the node says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let uri = format!("http://{}/pistachiolane/readiness", self.more.listen);
+        let http = HttpClient::new();
+        let status = timeout(ACKNOWLEDGED, http.get_status(&uri)).await;
+        matches!(status, Ok(Ok(200)))
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        if let Err(e) = lock(&self.program).signal(signal) {
+            eprintln!("{}: signal not sent: {e}", self.name);
+        }
+    }
+
+    /// Writes another settings file, which a running node takes.
+    ///
+    /// # Errors
+    /// Fails when it cannot be written.
+    pub fn change_settings(&self, index: usize, usable_percent: u32) -> io::Result<()> {
+        let Self { addresses, more, store, service, .. } = self;
+        let text = settings_text(index, addresses, more, *store, service, usable_percent);
+        fs::write(self.settings(), text)
+    }
+
+    /// Kills the process, or asks it to stop, and starts another once it has ended.
+    ///
+    /// # Errors
+    /// Fails when the process cannot be waited for or started.
+    pub async fn restart(&self, planned: bool) -> io::Result<()> {
+        let _knowledge = self.knowledge.begin();
+        let killed = (!planned).then(|| self.answers.begin());
+        self.signal(if planned { Signal::TERM } else { Signal::KILL });
+        if self.restarting.swap(true, Ordering::SeqCst) {
+            // The one who restarts it already sees its end.
+            return Ok(());
+        }
+        let calm = self.answers.calm();
+        let asked = Instant::now();
+        while asked.elapsed() < GRACE && !lock(&self.program).has_ended() {
+            sleep(POLL).await;
+        }
+        let ended = lock(&self.program).has_ended();
+        let undisturbed = calm.is_some() && self.answers.calm() == calm;
+        if planned && undisturbed && !ended {
+            let what = format!("{} still ran after {GRACE:?}", self.name);
+            self.around.checks.broken(Promise::PlannedStop, what);
+        }
+        let forced = (!ended).then(|| self.answers.begin());
+        self.signal(Signal::KILL);
+        while !lock(&self.program).has_ended() {
+            sleep(POLL).await;
+        }
+        let start = self.starts.fetch_add(1, Ordering::SeqCst) + 1;
+        let log = self.around.directory.join(format!("{}-{start}.log", self.name));
+        let next = Program::start(&self.around.program, &self.settings(), &log)?;
+        *lock(&self.program) = next;
+        self.restarting.store(false, Ordering::SeqCst);
+        drop((killed, forced));
+        Ok(())
+    }
+
+    /// Replaces the upstream: after its draining, or without a word.
+    ///
+    /// # Errors
+    /// Fails when the next one cannot listen.
+    pub async fn replace_upstream(&self, drains: bool) -> io::Result<()> {
+        if self.replacing.swap(true, Ordering::SeqCst) {
+            return Ok(());
+        }
+        if drains {
+            lock(&self.upstream).draining = true;
+            let begun = Instant::now();
+            while !self.announce().await && begun.elapsed() < GRACE {
+                sleep(POLL).await;
+            }
+            sleep(DRAIN).await;
+            self.tell("deregister").await;
+        }
+        let left = Arc::clone(&lock(&self.upstream).upstream);
+        left.stop();
+        sleep(ADDRESS_REUSE).await;
+        let next = new_upstream(&self.around, &self.upstream_link).await?;
+        *lock(&self.upstream) = next;
+        self.replacing.store(false, Ordering::SeqCst);
+        Ok(())
+    }
+
+    fn settings(&self) -> PathBuf {
+        self.around.directory.join(format!("{}.env", self.name))
+    }
+
+    async fn announce_for_ever(self: Arc<Self>) {
+        loop {
+            self.announce().await;
+            sleep(HEARTBEAT).await;
+        }
+    }
+
+    /// Announces the upstream; `true` once its draining is acknowledged, if it drains.
+    async fn announce(&self) -> bool {
+        let (upstream, draining) = {
+            let slot = lock(&self.upstream);
+            (Arc::clone(&slot.upstream), slot.draining)
+        };
+        let acknowledged = self.tell("heartbeat").await && draining;
+        if acknowledged {
+            let mut records = lock(&self.around.upstreams);
+            let record = records.iter_mut().find(|r| Arc::ptr_eq(&r.upstream, &upstream));
+            if let Some(record) = record {
+                record.drained.get_or_insert_with(|| upstream.age());
+            }
+        }
+        acknowledged
+    }
+
+    async fn tell(&self, what: &str) -> bool {
+        let (instance, body) = {
+            let mut slot = lock(&self.upstream);
+            slot.sequence += 1;
+            let state = if slot.draining { "draining" } else { "ready" };
+            let body = json!({
+                "service": self.service, "address": self.upstream_link.address, "zone": "a",
+                "version": "v1", "slots": slot.upstream.capacity.slots, "state": state,
+                "warmup_left_s": 0, "seq": slot.sequence, "born": slot.started_ms,
+            });
+            (slot.upstream.instance.clone(), body)
+        };
+        let uri = format!("http://{}/pistachiolane/instances/{instance}/{what}", self.more.gate);
+        let sent = timeout(ACKNOWLEDGED, self.around.http.post_json(&uri, &body)).await;
+        matches!(sent, Ok(Ok(answer)) if answer.head.status() == 200)
+    }
+}
+
+/// Starts an upstream, notes it, and points the link at it.
+async fn new_upstream(around: &Surroundings, link: &Relay) -> io::Result<UpstreamSlot> {
+    let number = around.names.fetch_add(1, Ordering::SeqCst);
+    let capacity = Capacity {
+        work: Duration::from_millis(15),
+        knee_slowness: 130,
+        noise: 60,
+        ..Capacity::default()
+    };
+    let (upstream, address) =
+        PlatformUpstream::start_with(&format!("i-{number}"), capacity).await?;
+    link.set_target(address);
+    let started = around.started.elapsed();
+    let record = UpstreamRecord { upstream: Arc::clone(&upstream), started, drained: None };
+    lock(&around.upstreams).push(record);
+    let started_ms = 1_000 + number * 10_000;
+    Ok(UpstreamSlot { upstream, draining: false, sequence: 0, started_ms })
+}
+
+fn settings_text(
+    index: usize,
+    own: &NodeAddresses,
+    more: &NodeAddresses,
+    store: SocketAddr,
+    service: &str,
+    usable_percent: u32,
+) -> String {
+    let region = ["north", "south"][index % 4 / 2];
+    let values = [
+        ("INTERFACE", "platform".to_owned()),
+        ("LISTEN", own.listen.to_string()),
+        ("GATE_LISTEN", own.gate.to_string()),
+        ("GATE_ADVERTISE", own.advertised_gate.to_string()),
+        ("CONTROL_LISTEN", own.control.to_string()),
+        ("ADMIN_LISTEN", own.admin.to_string()),
+        ("READY_LISTEN", more.listen.to_string()),
+        ("ANNOUNCE_LISTEN", more.gate.to_string()),
+        ("PLATFORM", format!("http://{store}")),
+        ("REGION", region.to_owned()),
+        ("ZONE", format!("{region}-{}", index % 3)),
+        ("SERVICE", service.to_owned()),
+        ("HEARTBEAT", HEARTBEAT.as_secs_f64().to_string()),
+        ("BOUNDS", format!("grace_s={},retry_budget_ratio=0.2,budget_slack=64", GRACE.as_secs())),
+        ("USABLE_SLOTS", usable_percent.to_string()),
+    ];
+    let mut text = String::new();
+    for (name, value) in values {
+        // Writing to a string cannot fail.
+        let _written = writeln!(text, "PISTACHIOLANE_{name}={value}");
+    }
+    text
+}
+
+/// An empty directory for the files of a soak.
+///
+/// # Errors
+/// Fails when it cannot be made.
+pub fn empty_directory(path: &Path) -> io::Result<()> {
+    if path.exists() {
+        fs::remove_dir_all(path)?;
+    }
+    fs::create_dir_all(path)
+}
--- /dev/null
+++ b/lab/src/soak/mod.rs
@@ -0,0 +1,15 @@
+//! A soak of the real program: a process for each host, faults from outside, and checks of what callers and
+//! upstreams see.
+
+mod checks;
+mod fault;
+mod host;
+mod program;
+mod run;
+
+pub use {
+    checks::Checks,
+    host::{Disturbed, Host, Marks, Surroundings},
+    program::{Program, program_beside},
+    run::{SoakError, SoakSpec, configuration, run},
+};
--- /dev/null
+++ b/lab/src/soak/run.rs
@@ -0,0 +1,458 @@
+//! A soak from its start to its report.
+
+use {
+    super::{
+        checks::{Promise, Seen},
+        fault::{Fault, FaultKind, LinkKind, schedule},
+        host::{Disturbed, Host, Marks, Surroundings, empty_directory},
+    },
+    crate::{
+        http::{HttpClient, WholeAnswer},
+        relay::LinkFault,
+        report::Report,
+        stand_in::{ID, PlatformStandIn},
+    },
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::Request,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rustix::process::Signal,
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        io,
+        path::PathBuf,
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        task::JoinSet,
+        time::{Instant, sleep},
+    },
+};
+
+/// Requests a second for each host.
+const RATE: f64 = 25.0;
+
+/// Largest time between two requests of all callers together.
+const MAX_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time that callers give a request.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Time after the deadline in which its answer must be there: links are delayed by up to 0.4 s each way.
+const LATE: Duration = Duration::from_millis(800);
+
+/// Time for a fleet to become ready, and after the last fault to serve again.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Bound on the time in which a configuration is in force: the sites' 2.5 s, and two looks at it.
+const IN_FORCE: Duration = Duration::from_millis(2_800);
+
+/// Calm before a change that lets a node be measured by it.
+const SETTLED: Duration = Duration::from_secs(4);
+
+/// Time between two looks at the configuration of a host.
+const PROBE_PERIOD: Duration = Duration::from_millis(150);
+
+/// Time for work that is still on its way after the last fault.
+const LAST_WORK: Duration = Duration::from_secs(4);
+
+/// Time that a store takes for a call when it is slow, in milliseconds.
+const SLOW_STORE_MS: u64 = 700;
+
+/// What a soak is run with.
+#[derive(Clone, Debug)]
+pub struct SoakSpec {
+    /// Seed of the faults and requests.
+    pub seed: u64,
+    /// Time of faults.
+    pub time: Duration,
+    /// Hosts.
+    pub hosts: usize,
+    /// The program under test.
+    pub program: PathBuf,
+    /// Where the processes' settings and logs go.
+    pub logs: PathBuf,
+}
+
+/// Why a soak did not run.
+#[derive(Debug, thiserror::Error)]
+pub enum SoakError {
+    /// A socket, a file or a process could not be had.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    /// The fleet did not come up.
+    #[error("the hosts were not ready in {RECOVERY:?}")]
+    NotReady,
+}
+
+struct Soak {
+    hosts: Vec<Arc<Host>>,
+    store: Arc<PlatformStandIn>,
+    store_marks: Arc<Marks>,
+    around: Arc<Surroundings>,
+    /// When each version was written; the first has the number 0.
+    versions: Mutex<Vec<Instant>>,
+    http: HttpClient,
+    sent: AtomicUsize,
+    over: AtomicBool,
+}
+
+/// Runs a soak.
+///
+/// # Errors
+/// Fails when the fleet does not come up; broken promises are in the report.
+pub async fn run(spec: &SoakSpec) -> Result<Report, SoakError> {
+    let mut rng = SmallRng::seed_from_u64(spec.seed);
+    let soak = Arc::new(start(spec).await?);
+    let faults = schedule(&mut rng, spec.time, spec.hosts);
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for fault in &faults {
+        let name = format!("{:?}", fault.kind);
+        let name = name.split([' ', '(', '{']).next().unwrap_or_default();
+        *counts.entry(name.to_owned()).or_default() += 1;
+    }
+    let mut tasks = JoinSet::new();
+    for host in &soak.hosts {
+        tasks.spawn(watch_configuration(Arc::clone(&soak), Arc::clone(host)));
+    }
+    let traffic = tokio::spawn(send_requests(Arc::clone(&soak), spec.seed));
+    let started = Instant::now();
+    let mut running = JoinSet::new();
+    for fault in faults {
+        tokio::time::sleep_until(started + fault.at).await;
+        let soak = Arc::clone(&soak);
+        running.spawn(async move { soak.apply(fault).await });
+    }
+    while let Some(done) = running.join_next().await {
+        if let Ok(Err(e)) = done {
+            eprintln!("a fault could not be applied: {e}");
+        }
+    }
+    soak.check_recovery().await;
+    soak.over.store(true, Ordering::SeqCst);
+    while tasks.join_next().await.is_some() {}
+    // A request that panicked is a fault of the soak, which its counts would show.
+    let _sent = traffic.await;
+    sleep(LAST_WORK).await;
+    soak.around.checks.judge_runs(&lock(&soak.around.upstreams));
+    let mut report = Report::new("soak", spec.seed);
+    report.figure("faults", json!(counts));
+    report.figure("answers", soak.around.checks.statuses());
+    report.figure("requests", json!(soak.sent.load(Ordering::SeqCst)));
+    report.figure("versions", json!(lock(&soak.versions).len()));
+    let violations = soak.around.checks.violations();
+    for (at, what) in violations.iter().take(20).enumerate() {
+        report.figure(&format!("broken {at:02}"), json!(what));
+    }
+    soak.around.checks.report().into_iter().for_each(|check| report.check(check));
+    Ok(report)
+}
+
+async fn start(spec: &SoakSpec) -> Result<Soak, SoakError> {
+    let directory = spec.logs.join(format!("seed-{}", spec.seed));
+    empty_directory(&directory)?;
+    let around = Arc::new(Surroundings::new(spec.program.clone(), directory));
+    let store = PlatformStandIn::new();
+    store.operate("config", "main", configuration(0));
+    let mut hosts = Vec::new();
+    for index in 0..spec.hosts {
+        hosts.push(Host::start(index, &store, Arc::clone(&around)).await?);
+    }
+    let soak = Soak {
+        hosts,
+        store,
+        store_marks: Arc::default(),
+        around,
+        versions: Mutex::new(vec![Instant::now()]),
+        http: HttpClient::new(),
+        sent: AtomicUsize::new(0),
+        over: AtomicBool::new(false),
+    };
+    if soak.first_not_ready(RECOVERY).await.is_some() {
+        return Err(SoakError::NotReady);
+    }
+    // Announcements reach the other nodes.
+    sleep(Duration::from_secs(1)).await;
+    Ok(soak)
+}
+
+impl Soak {
+    async fn apply(&self, fault: Fault) -> io::Result<()> {
+        let host = &self.hosts[fault.host];
+        match fault.kind {
+            FaultKind::Kill => host.restart(false).await?,
+            FaultKind::PlannedStop => host.restart(true).await?,
+            FaultKind::KillAllAfterChange => {
+                self.change();
+                let mut restarts = JoinSet::new();
+                for host in &self.hosts {
+                    let host = Arc::clone(host);
+                    restarts.spawn(async move { host.restart(false).await });
+                }
+                while let Some(done) = restarts.join_next().await {
+                    done.map_err(io::Error::other)??;
+                }
+            }
+            FaultKind::Pause => {
+                let _marks = (host.answers.begin(), host.knowledge.begin());
+                host.signal(Signal::STOP);
+                sleep(fault.lasts).await;
+                host.signal(Signal::CONT);
+                // What its clocks and sockets have to catch up with is still an effect of the pause.
+                sleep(DEADLINE).await;
+            }
+            FaultKind::Reload { signalled } => {
+                host.change_settings(fault.host, 70 + fault.lasts.subsec_millis() % 30)?;
+                if signalled {
+                    host.signal(Signal::HUP);
+                }
+            }
+            FaultKind::Link(kind, lost) => {
+                let _marks = link_marks(host, kind);
+                host.link(kind).set_fault(lost);
+                sleep(fault.lasts).await;
+                host.link(kind).set_fault(LinkFault::None);
+            }
+            FaultKind::Reset(kind) => {
+                let _marks = link_marks(host, kind);
+                host.link(kind).reset_open();
+            }
+            FaultKind::Silence(kind) => {
+                let _marks = link_marks(host, kind);
+                host.link(kind).silence_open();
+            }
+            FaultKind::Refusal(kind) => {
+                host.refusal.set(Some(kind));
+                sleep(fault.lasts).await;
+                host.refusal.set(None);
+            }
+            FaultKind::StoreDown => {
+                let _marks = self.store_marks.begin();
+                self.store.faults.down.store(true, Ordering::SeqCst);
+                sleep(fault.lasts).await;
+                self.store.faults.down.store(false, Ordering::SeqCst);
+            }
+            FaultKind::StoreSlow => {
+                let _marks = self.store_marks.begin();
+                self.store.faults.delay_ms.store(SLOW_STORE_MS, Ordering::SeqCst);
+                sleep(fault.lasts).await;
+                self.store.faults.delay_ms.store(0, Ordering::SeqCst);
+            }
+            FaultKind::StoreLosesAnswers => {
+                self.store.faults.lose_answers.fetch_add(2, Ordering::SeqCst);
+            }
+            FaultKind::StoreForgets => self.store.forget_history(),
+            FaultKind::UpstreamLeaves => host.replace_upstream(true).await?,
+            FaultKind::UpstreamCrashes => host.replace_upstream(false).await?,
+            FaultKind::Change => self.change(),
+        }
+        Ok(())
+    }
+
+    /// Writes the next version.
+    fn change(&self) {
+        let mut versions = lock(&self.versions);
+        self.store.operate("config", "main", configuration(versions.len()));
+        versions.push(Instant::now());
+    }
+
+    async fn first_not_ready(&self, limit: Duration) -> Option<&Arc<Host>> {
+        let until = Instant::now() + limit;
+        for host in &self.hosts {
+            while !host.is_ready().await {
+                if Instant::now() > until {
+                    return Some(host);
+                }
+                sleep(PROBE_PERIOD).await;
+            }
+        }
+        None
+    }
+
+    /// After the last fault every host is ready and serves both kinds of work.
+    async fn check_recovery(&self) {
+        let begun = Instant::now();
+        if let Some(host) = self.first_not_ready(RECOVERY).await {
+            self.around.checks.broken(Promise::Recovery, format!("{} is not ready", host.name));
+        }
+        // Connections from before the faults are not the nodes' concern.
+        let http = HttpClient::new();
+        for host in &self.hosts {
+            for kind in ["o", "s"] {
+                let mut tries = 0;
+                loop {
+                    tries += 1;
+                    let id = format!("{kind}-last-{}-{tries}", host.name);
+                    let answer = call(&http, host, &id).await;
+                    if answer.is_ok_and(|a| a.head.status() == 200) {
+                        break;
+                    }
+                    if begun.elapsed() > RECOVERY {
+                        let what = format!("{} serves no {kind}", host.name);
+                        self.around.checks.broken(Promise::Recovery, what);
+                        break;
+                    }
+                    sleep(PROBE_PERIOD).await;
+                }
+            }
+        }
+    }
+}
+
+/// Sends requests until the soak is over; their rate rises and falls.
+async fn send_requests(soak: Arc<Soak>, seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x5eed);
+    let mut tasks = JoinSet::new();
+    let mut number = 0_u64;
+    while !soak.over.load(Ordering::SeqCst) {
+        let burst = if soak.around.started.elapsed().as_secs() % 10 < 2 { 3.0 } else { 1.0 };
+        let mean = 1.0 / (RATE * burst * soak.hosts.len() as f64);
+        let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+        sleep(Duration::from_secs_f64(-uniform.ln() * mean).min(MAX_PAUSE)).await;
+        number += 1;
+        let kind = if rng.random_bool(0.5) { "o" } else { "s" };
+        let (id, host) = (format!("{kind}-{number}"), rng.random_range(0..soak.hosts.len()));
+        let soak = Arc::clone(&soak);
+        tasks.spawn(async move { soak.request(id, host).await });
+        while tasks.try_join_next().is_some() {}
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+impl Soak {
+    async fn request(&self, id: String, host: usize) {
+        let host = &self.hosts[host];
+        self.sent.fetch_add(1, Ordering::SeqCst);
+        let calm = host.answers.calm();
+        let begun = Instant::now();
+        let answer = call(&self.http, host, &id).await;
+        let late = answer.is_ok() && begun.elapsed() > DEADLINE + LATE;
+        let undisturbed = calm.is_some() && host.answers.calm() == calm;
+        let own = answer.as_ref().is_ok_and(|a| is_own(a, &id));
+        let status = answer.map(|a| a.head.status().as_u16());
+        let name = host.name.clone();
+        self.around.checks.seen(Seen { id, host: name, status, own, undisturbed, late });
+    }
+}
+
+/// Only the callers' link disturbs what a node answers.
+fn link_marks(host: &Host, kind: LinkKind) -> Option<Disturbed> {
+    (kind == LinkKind::Callers).then(|| host.answers.begin())
+}
+
+async fn call(
+    http: &HttpClient,
+    host: &Host,
+    id: &str,
+) -> Result<WholeAnswer, crate::http::HttpError> {
+    let (method, path) = if id.starts_with('o') { ("POST", "orders") } else { ("GET", "sizing") };
+    let req = Request::builder()
+        .method(method)
+        .uri(format!("http://{}/{path}/ok", host.callers.address))
+        .header("host", "shop.example")
+        .header(ID, id)
+        .header("x-pistachiolane-deadline-ms", DEADLINE.as_millis().to_string())
+        .body(Full::new(Bytes::new()));
+    http.send(req.map_err(|_e| crate::http::HttpError::Invalid)?).await
+}
+
+fn is_own(answer: &WholeAnswer, id: &str) -> bool {
+    let signature = answer.head.headers().get("x-pistachiolane-response-signature");
+    let signed = signature.is_some_and(|s| *s == format!("{id}.s").as_str());
+    signed && answer.body == format!("answer to {id}")
+}
+
+/// Asks a node for the routes of versions: those it has known stay, and new ones come in time.
+async fn watch_configuration(soak: Arc<Soak>, host: Arc<Host>) {
+    let (mut start, mut known) = (0, 0);
+    let mut told_late = 0;
+    while !soak.over.load(Ordering::SeqCst) {
+        sleep(PROBE_PERIOD).await;
+        let present = host.starts.load(Ordering::SeqCst);
+        if present != start {
+            (start, known) = (present, 0);
+        }
+        let newest = lock(&soak.versions).len() - 1;
+        let calm = host.answers.calm();
+        let checks = &soak.around.checks;
+        match soak.knows(&host, known).await {
+            Some(false) if host.starts.load(Ordering::SeqCst) == start => {
+                checks.broken(Promise::NeverBack, format!("{}: version {known}", host.name));
+            }
+            _ => {}
+        }
+        if newest > known && soak.knows(&host, newest).await == Some(true) {
+            known = newest;
+        }
+        let written = lock(&soak.versions)[newest];
+        let settled = written.checked_sub(SETTLED).unwrap_or(written);
+        let measured = host.knowledge.is_calm_since(settled)
+            && soak.store_marks.is_calm_since(settled)
+            && calm.is_some()
+            && host.answers.calm() == calm;
+        if known < newest && measured && written.elapsed() > IN_FORCE && told_late != newest {
+            told_late = newest;
+            checks.broken(Promise::InForce, format!("{}: version {newest}", host.name));
+        }
+    }
+}
+
+impl Soak {
+    /// Whether a node has the route of a version; `None` without an answer that says so.
+    async fn knows(&self, host: &Host, version: usize) -> Option<bool> {
+        let uri = format!("http://{}/v{version}/", host.callers.address);
+        let req = Request::builder()
+            .uri(uri)
+            .header("host", "shop.example")
+            // No time left: nothing is run.
+            .header("x-pistachiolane-deadline-ms", "0")
+            .body(Full::new(Bytes::new()))
+            .ok()?;
+        let answer = HttpClient::new().send(req).await.ok()?;
+        let reason = answer.head.headers().get("pistachiolane-reason");
+        let knows_none = reason.is_some_and(|r| r == "not-ready");
+        (!knows_none).then_some(answer.head.status() != 404)
+    }
+}
+
+/// A configuration with a route for each version so far.
+pub fn configuration(version: usize) -> Value {
+    let columns = [
+        "name",
+        "host",
+        "path_prefix",
+        "route_type",
+        "timeout_s",
+        "target_latency_s",
+        "priority",
+        "service",
+        "max_attempts",
+        "traffic_split",
+    ];
+    let row = |name: String, kind: &str, service: &str| {
+        let path = format!("/{name}/");
+        json!([name, "shop.example", path, kind, 2.0, 0.5, 1, service, 3, null])
+    };
+    let mut rows = vec![
+        row("orders".to_owned(), "non_idempotent", "booking"),
+        row("sizing".to_owned(), "idempotent", "sorting"),
+    ];
+    rows.extend((0..=version).map(|v| row(format!("v{v}"), "idempotent", "sorting")));
+    json!({
+        "version": format!("r{}", version * 3 + 7),
+        "routes": { "columns": columns, "rows": rows },
+        "services": { "columns": ["name", "max_connections"],
+            "rows": [["booking", 260], ["sorting", 260]] },
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_s": 3,
+            "idle_timeout_s": 15 },
+    })
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/lab/src/stand_in/platform.rs
+++ b/lab/src/stand_in/platform.rs
@@ -138,6 +138,12 @@
         self.apply(kind, name, write, spec);
     }
 
+    /// Forgets the history so far; watches from before are told that it is gone.
+    pub fn forget_history(&self) {
+        let revision = self.store().revision;
+        self.faults.history_from.store(revision + 1, Ordering::SeqCst);
+    }
+
     /// Calls taken so far.
     pub fn counts(&self) -> CallCounts {
         CallCounts {
