Work that waits for a leaving upstream is refused; lines of failures stay

Change: the gate tells an upstream that leaves from a node that leaves; its queue refuses everything as not run in the first case, and runs on in the second. Cause 2: when the reader of the log was slow, lines were left out as they came, whosever they were, and only their number was told.

--- a/pistachiolane/src/cli/log_line.rs
+++ b/pistachiolane/src/cli/log_line.rs
@@ -1,12 +1,16 @@
 //! One line of the log as JSON.
 
 use {
+    super::log_entry::LineClass,
     log::{
-        Record,
+        Level, Record,
         kv::{Error, Key, Value, VisitSource},
     },
     serde::{Serialize, Serializer, ser::SerializeMap},
-    std::time::{SystemTime, UNIX_EPOCH},
+    std::{
+        hash::{DefaultHasher, Hash, Hasher},
+        time::{SystemTime, UNIX_EPOCH},
+    },
 };
 
 /// A record with the fields `time` (Unix seconds), `level`, `target`, `message`, and those of its own.
@@ -59,3 +63,45 @@
         })
     }
 }
+
+/// What a record is about, as a hash, and whether it tells of a failure.
+pub(super) fn classify(record: &Record<'_>) -> (u64, LineClass) {
+    let mut found = Classified { about: 0, is_failure: record.level() <= Level::Warn };
+    // The visitor below fails nowhere.
+    let _visited = record.key_values().visit(&mut found);
+    let class = match (found.about, found.is_failure) {
+        (0, _) => LineClass::State,
+        (_, true) => LineClass::Failure,
+        (_, false) => LineClass::Ordinary,
+    };
+    (found.about, class)
+}
+
+struct Classified {
+    about: u64,
+    is_failure: bool,
+}
+
+impl<'kvs> VisitSource<'kvs> for Classified {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let text = value.to_borrowed_str().unwrap_or("");
+        match key.as_str() {
+            // An entry's lines name both, and belong together by the request.
+            "request" => self.about = hash(text),
+            "attempt" if self.about == 0 => self.about = hash(text),
+            "reason" | "why" => self.is_failure |= !text.is_empty(),
+            "outcome" => self.is_failure |= text != "answer",
+            "end" => self.is_failure |= text != "answered",
+            "status" => self.is_failure |= value.to_u64().is_some_and(|status| status >= 500),
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+fn hash(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    // Zero stands for no request.
+    hasher.finish().max(1)
+}
--- a/pistachiolane/src/cli/logging.rs
+++ b/pistachiolane/src/cli/logging.rs
@@ -1,7 +1,11 @@
 //! Logs of a node: one JSON object a line on standard output.
 
 use {
-    super::{line_queue::LineQueue, log_line::LogLine},
+    super::{
+        line_queue::LineQueue,
+        log_entry::LogEntry,
+        log_line::{LogLine, classify},
+    },
     log::{LevelFilter, Record},
     log4rs::{
         Config, Handle,
@@ -63,7 +67,9 @@
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = serde_json::to_vec(&LogLine::new(record))?;
         line.push(b'\n');
-        self.queue.push(line);
+        let (about, class) = classify(record);
+        let kind = record.args().as_str().unwrap_or("others");
+        self.queue.push(LogEntry { text: line, kind, about, class });
         Ok(())
     }
 
--- a/pistachiolane/src/cli/mod.rs
+++ b/pistachiolane/src/cli/mod.rs
@@ -6,7 +6,9 @@
 mod commands;
 mod exit;
 mod explain;
+mod line_backlog;
 mod line_queue;
+mod log_entry;
 mod log_line;
 mod logging;
 mod node_options;
@@ -14,4 +16,12 @@
 mod output;
 mod run;
 
-pub use {adapter::Adapter, exit::Exit, explain::explain, line_queue::LineQueue, run::run};
+pub use {
+    adapter::Adapter,
+    exit::Exit,
+    explain::explain,
+    line_backlog::LineBacklog,
+    line_queue::LineQueue,
+    log_entry::{LineClass, LogEntry},
+    run::run,
+};
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -253,6 +253,7 @@
             let (delivery, refusal) = match next {
                 Queued::Run(delivery) => (delivery, None),
                 Queued::Expired(delivery) => (delivery, Some(RefusalReason::Expired)),
+                Queued::Withdrawn(delivery) => (delivery, Some(RefusalReason::Draining)),
                 Queued::Shed(delivery) => (delivery, Some(RefusalReason::QueueFull)),
             };
             let Some(ticket) = self.tickets.remove(&delivery) else {
@@ -281,8 +282,8 @@
         slots: u16,
         draining: bool,
     ) -> Vec<EngineAction> {
-        let draining = draining || self.leaving;
         self.admission.announce(now, service, slots, draining);
+        let draining = draining || self.leaving;
         let upstreams = vec![Placement { service: Arc::clone(service), slots }];
         let health = if draining { Health::Draining } else { Health::Alive };
         self.own(now, rng, upstreams, health)
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -87,7 +87,10 @@
     limit: AdaptiveLimit,
     queued: AtomicU32,
     sequence: AtomicU64,
-    draining: AtomicBool,
+    /// The upstream wants no new work.
+    upstream_drains: AtomicBool,
+    /// The node leaves; what waits at its gate is still run.
+    leaving: AtomicBool,
     ready_at: AtomicU64,
     present: AtomicBool,
     /// How long work takes at the upstream at this moment, by its own account.
@@ -101,7 +104,8 @@
             limit: AdaptiveLimit::new(0),
             queued: AtomicU32::new(0),
             sequence: AtomicU64::new(0),
-            draining: AtomicBool::new(false),
+            upstream_drains: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
             ready_at: AtomicU64::new(0),
             present: AtomicBool::new(false),
             slowness: Slowness::default(),
@@ -121,7 +125,7 @@
             self.ready_at.store((now + WARMING_TIME).0, Ordering::Relaxed);
         }
         self.limit.announce(u32::from(slots));
-        self.draining.store(draining, Ordering::SeqCst);
+        self.upstream_drains.store(draining, Ordering::SeqCst);
     }
 
     /// Reports the upstream as warming for a time.
@@ -134,14 +138,19 @@
         self.present.store(false, Ordering::SeqCst);
     }
 
-    /// Refuses all work that comes from now on.
+    /// Refuses all work that comes from now on, as the node leaves.
     pub fn drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+        self.leaving.store(true, Ordering::SeqCst);
     }
 
-    /// Whether new work is refused because the gate leaves.
+    /// Whether new work is refused because the node or its upstream leaves.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.leaving.load(Ordering::SeqCst) || self.upstream_drains.load(Ordering::SeqCst)
+    }
+
+    /// Whether the upstream still takes what waits for it.
+    pub fn runs_waiting(&self) -> bool {
+        self.present.load(Ordering::SeqCst) && !self.upstream_drains.load(Ordering::SeqCst)
     }
 
     /// Decides on an attempt of which only the time left is known; as [`Gate::admit`].
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -17,6 +17,8 @@
     Run(T),
     /// The item's deadline passed; it is not run.
     Expired(T),
+    /// The upstream leaves or is gone; the item is not run there.
+    Withdrawn(T),
     /// The queue is over its bound and the item was last in the longest line; it is not run.
     Shed(T),
 }
@@ -83,7 +85,8 @@
         self.lines.is_empty()
     }
 
-    /// Removes the next item that is one too many, that expired, or that a free slot can take.
+    /// Removes the next item that is one too many, that expired, that the upstream no longer takes, or that a free
+    /// slot can take.
     ///
     /// Items for which `is_gone` holds are dropped on the way; their callers left.
     pub fn next(
@@ -92,6 +95,12 @@
         gate: &Gate,
         is_gone: impl Fn(&T) -> bool,
     ) -> Option<Queued<T>> {
+        if !gate.runs_waiting() {
+            let (line, _) = self.lines.first_key_value()?;
+            let waiter = self.remove(&line.clone(), 0)?;
+            gate.leave_queue();
+            return Some(Queued::Withdrawn(waiter.item));
+        }
         if self.len() > gate.queue_bound() as usize {
             gate.leave_queue();
             return self.remove_newest_of_longest().map(Queued::Shed);
@@ -131,16 +140,6 @@
         waiters.and_then(|w| w.iter().position(|w| w.start_by.on_time > now)).unwrap_or(0)
     }
 
-    /// Removes everything, as when the gate loses its upstream.
-    pub fn drain(&mut self, gate: &Gate) -> Vec<T> {
-        let lines = std::mem::take(&mut self.lines);
-        let items: Vec<T> = lines.into_values().flatten().map(|w| w.item).collect();
-        for _ in &items {
-            gate.leave_queue();
-        }
-        items
-    }
-
     /// Takes from the least urgent priority first.
     fn remove_newest_of_longest(&mut self) -> Option<T> {
         let longest =
--- a/pistachiolane/src/node/announcements.rs
+++ b/pistachiolane/src/node/announcements.rs
@@ -59,7 +59,6 @@
 }
 
 fn take(shared: &Shared, next: &Announcement) {
-    let draining = next.draining || shared.draining();
     let now = shared.now();
     shared.admission.gate.set_usable_percent(shared.tunables.load().usable_slots);
     shared.upstream.store(Some(Arc::new(next.clone())));
@@ -67,7 +66,7 @@
     // Each request has a connection of its own.
     let slots =
         connections.map_or(next.slots, |most| next.slots.min(most.min(u16::MAX.into()) as u16));
-    shared.admission.announce(now, &next.service, slots, draining);
+    shared.admission.announce(now, &next.service, slots, next.draining);
     if next.cold_ms > 0 {
         shared.admission.gate.warm_up(now, Duration::from_millis(u64::from(next.cold_ms)));
     }
--- a/pistachiolane/src/node/queue_task.rs
+++ b/pistachiolane/src/node/queue_task.rs
@@ -98,6 +98,7 @@
         let (item, verdict) = match next {
             Queued::Run(item) => (item, QueueVerdict::Run(SlotGuard::new(Arc::clone(shared)))),
             Queued::Expired(item) => (item, QueueVerdict::Refused(RefusalReason::Expired)),
+            Queued::Withdrawn(item) => (item, QueueVerdict::Refused(RefusalReason::Draining)),
             Queued::Shed(item) => (item, QueueVerdict::Refused(RefusalReason::QueueFull)),
         };
         // A verdict that nobody takes gives its slot back by its guard.
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -163,6 +163,22 @@
     assert_eq!(queue.len(), 2);
 }
 
+/// What waits for an upstream that leaves or is gone is refused at once; a node that leaves still runs it.
+#[test_case(|gate| gate.announce(Tick(2), 1, true), true; "the upstream drains")]
+#[test_case(Gate::withdraw, true; "the upstream is gone")]
+#[test_case(Gate::drain, false; "the node leaves")]
+fn queue_of_a_leaving_upstream(leave: fn(&Gate), refused: bool) {
+    let gate = gate(1);
+    assert_eq!(gate.arrive(SECOND, true), Arrival::Run);
+    let mut queue = queue_of(&gate, &[("a", 1)]);
+    leave(&gate);
+    gate.finish();
+    let expected = if refused { Queued::Withdrawn(1) } else { Queued::Run(1) };
+    assert_eq!(queue.next(Tick(5), &gate, |_| false), Some(expected));
+    assert!(!gate.has_queue());
+    assert_eq!(gate.running(), u32::from(!refused));
+}
+
 #[test]
 fn queue_drops_cancelled_and_expired() {
     let gate = gate(1);
