Lab: a relay outlives a failed accept

A relay ended for good with the first accept that failed. Whether descriptors ran out is to be seen: the relay now says so and goes on.

--- a/lab/src/relay.rs
+++ b/lab/src/relay.rs
@@ -10,6 +10,9 @@
     },
 };
 
+/// Pause after a failed accept; descriptors are short, and others will close.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// What happens to the bytes of connections that are open or come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -60,7 +63,15 @@
         let address = listener.local_addr()?;
         let (link, links) = watch::channel(Link::default());
         tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
+            loop {
+                let socket = match listener.accept().await {
+                    Ok((socket, _)) => socket,
+                    Err(e) => {
+                        eprintln!("relay {address}: cannot accept: {e}");
+                        sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    }
+                };
                 let target = links.borrow().target;
                 if let Some(target) = target {
                     tokio::spawn(connection(socket, target, links.clone()));
