--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -97,13 +97,17 @@
         self.send(req.map_err(|_e| HttpError::Invalid)?).await
     }
 
+    async fn fetch(&self, uri: &str) -> Result<WholeAnswer, HttpError> {
+        let req = Request::get(uri).body(Full::new(Bytes::new()));
+        self.send(req.map_err(|_e| HttpError::Invalid)?).await
+    }
+
     /// Gets the status of an answer.
     ///
     /// # Errors
     /// Fails when the answer does not come, or is cut.
     pub async fn get_status(&self, uri: &str) -> Result<u16, HttpError> {
-        let req = Request::get(uri).body(Full::new(Bytes::new()));
-        let answer = self.send(req.map_err(|_e| HttpError::Invalid)?).await?;
+        let answer = self.fetch(uri).await?;
         Ok(answer.head.status().as_u16())
     }
 
@@ -112,8 +116,7 @@
     /// # Errors
     /// Fails when the answer does not come, or is cut.
     pub async fn get(&self, uri: &str) -> Result<String, HttpError> {
-        let req = Request::get(uri).body(Full::new(Bytes::new()));
-        let answer = self.send(req.map_err(|_e| HttpError::Invalid)?).await?;
+        let answer = self.fetch(uri).await?;
         Ok(String::from_utf8_lossy(&answer.body).into_owned())
     }
 }
--- a/lab/src/soak/host.rs
+++ b/lab/src/soak/host.rs
@@ -157,7 +157,8 @@
     around: Arc<Surroundings>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+/// Locks what no other thread can have left half done.
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -4,13 +4,13 @@
     super::{
         checks::{Promise, Seen},
         fault::{Fault, FaultKind, LinkKind, schedule},
-        host::{Disturbed, Host, Marks, Surroundings, empty_directory},
+        host::{Disturbed, Host, Marks, Surroundings, empty_directory, lock},
     },
     crate::{
         http::{HttpClient, WholeAnswer},
         relay::LinkFault,
         report::Report,
-        stand_in::{ID, PlatformStandIn},
+        stand_in::{self, ID, PlatformStandIn, RouteRow},
     },
     bytes::Bytes,
     http_body_util::Full,
@@ -23,7 +23,7 @@
         io,
         path::PathBuf,
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex,
             atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
@@ -422,37 +422,19 @@
 
 /// A configuration with a route for each version so far.
 pub fn configuration(version: usize) -> Value {
-    let columns = [
-        "name",
-        "host",
-        "path_prefix",
-        "route_type",
-        "timeout_s",
-        "target_latency_s",
-        "priority",
-        "service",
-        "max_attempts",
-        "traffic_split",
-    ];
-    let row = |name: String, kind: &str, service: &str| {
-        let path = format!("/{name}/");
-        json!([name, "shop.example", path, kind, 2.0, 0.5, 1, service, 3, null])
+    let row = |name: String, kind, service| RouteRow {
+        name,
+        host: "shop.example",
+        kind,
+        timeout_s: 2.0,
+        service,
+        max_attempts: 3,
     };
-    let mut rows = vec![
+    let mut routes = vec![
         row("orders".to_owned(), "non_idempotent", "booking"),
         row("sizing".to_owned(), "idempotent", "sorting"),
     ];
-    rows.extend((0..=version).map(|v| row(format!("v{v}"), "idempotent", "sorting")));
-    json!({
-        "version": format!("r{}", version * 3 + 7),
-        "routes": { "columns": columns, "rows": rows },
-        "services": { "columns": ["name", "max_connections"],
-            "rows": [["booking", 260], ["sorting", 260]] },
-        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_s": 3,
-            "idle_timeout_s": 15 },
-    })
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+    routes.extend((0..=version).map(|v| row(format!("v{v}"), "idempotent", "sorting")));
+    let version = format!("r{}", version * 3 + 7);
+    stand_in::configuration(&version, &routes, &["booking", "sorting"])
 }
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform and for upstreams.
 
 mod capacity;
+mod configuration;
 mod http_server;
 mod platform;
 mod platform_upstream;
@@ -9,6 +10,7 @@
 
 pub use {
     capacity::{Capacity, WhenFull},
+    configuration::{RouteRow, configuration},
     platform::{CallCounts, PlatformFaults, PlatformStandIn},
     platform_upstream::{Arrived, ID, PlatformUpstream},
     refusal::{Refusal, RefusalKind},
--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -103,19 +103,7 @@
         instance: &str,
         capacity: Capacity,
     ) -> std::io::Result<(Arc<Self>, SocketAddr)> {
-        Self::start_at((Ipv4Addr::LOCALHOST, 0).into(), instance, capacity).await
-    }
-
-    /// Starts an upstream with a capacity on an address, such as that of one that has ended.
-    ///
-    /// # Errors
-    /// Fails when the address is taken.
-    pub async fn start_at(
-        address: SocketAddr,
-        instance: &str,
-        capacity: Capacity,
-    ) -> std::io::Result<(Arc<Self>, SocketAddr)> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let upstream = Arc::new(Self {
             instance: instance.to_owned(),
@@ -184,8 +172,7 @@
             }
             let action = req.line.rsplit('/').next().unwrap_or("").to_owned();
             if action == "shed" {
-                let head = "x-pistachiolane-not-executed: 1";
-                socket.write_all(&answer("503 Service Unavailable", head, "")).await?;
+                refuse(&mut socket).await?;
                 continue;
             }
             let id = req.headers.get(ID).cloned().unwrap_or_default();
@@ -268,10 +255,7 @@
     /// Does what a full upstream does; `false` if that ends the connection.
     async fn turn_away(&self, socket: &mut TcpStream) -> std::io::Result<bool> {
         match self.capacity.when_full {
-            WhenFull::Refuse => {
-                let head = "x-pistachiolane-not-executed: 1";
-                socket.write_all(&answer("503 Service Unavailable", head, "")).await?;
-            }
+            WhenFull::Refuse => refuse(socket).await?,
             WhenFull::Reset => socket.set_zero_linger()?,
             WhenFull::Hang => closed(socket).await,
         }
@@ -291,6 +275,12 @@
     }
 }
 
+/// Says that a request did not run.
+async fn refuse(socket: &mut TcpStream) -> std::io::Result<()> {
+    let head = "x-pistachiolane-not-executed: 1";
+    socket.write_all(&answer("503 Service Unavailable", head, "")).await
+}
+
 /// Waits until the other side closes the connection, or sends what it must not.
 async fn closed(socket: &mut TcpStream) {
     let mut byte = [0; 1];
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -6,7 +6,7 @@
     lab::{
         fleet::{free_addresses, loopback},
         http::HttpClient,
-        stand_in::{Capacity, ID, PlatformStandIn, PlatformUpstream, Refusal},
+        stand_in::{Capacity, ID, PlatformStandIn, PlatformUpstream, Refusal, RouteRow},
     },
     pistachiolane::{
         node::{self, RunningNode},
@@ -40,29 +40,18 @@
     pub http: HttpClient,
 }
 
+/// A configuration with a route for each kind of work.
 pub fn configuration(version: &str, host: &str) -> Value {
-    let columns = [
-        "name",
-        "host",
-        "path_prefix",
-        "route_type",
-        "timeout_s",
-        "target_latency_s",
-        "priority",
-        "service",
-        "max_attempts",
-        "traffic_split",
-    ];
-    json!({
-        "version": version,
-        "routes": { "columns": columns, "rows": [
-            ["orders", host, "/orders/", "non_idempotent", 1.5, 0.5, 1, "huvo", 2, null],
-            ["sizing", host, "/sizing/", "idempotent", 1.5, 0.5, 1, "huvo", 2, null],
-        ] },
-        "services": { "columns": ["name", "max_connections"], "rows": [["huvo", 260]] },
-        "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_s": 3,
-            "idle_timeout_s": 15 },
-    })
+    let row = |name: &str, kind| RouteRow {
+        name: name.to_owned(),
+        host,
+        kind,
+        timeout_s: 1.5,
+        service: "huvo",
+        max_attempts: 2,
+    };
+    let routes = [row("orders", "non_idempotent"), row("sizing", "idempotent")];
+    lab::stand_in::configuration(version, &routes, &["huvo"])
 }
 
 /// A node beside an upstream of the usual capacity.
@@ -137,7 +126,7 @@
 
     pub async fn readiness(&self) -> u16 {
         let uri = format!("http://{}/pistachiolane/readiness", self.ready);
-        self.http.send_json(Method::GET, &uri, &Value::Null).await.unwrap().head.status().as_u16()
+        self.http.get_status(&uri).await.unwrap()
     }
 
     pub async fn beat(&self, instance: &str, state: &str, seq: u64, born: u64) -> u16 {
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -4,7 +4,6 @@
 
 use {
     common::{PATIENCE, Site, configuration, request, site, start, status},
-    hyper::Method,
     lab::stand_in::{ID, PlatformStandIn},
     serde_json::{Value, json},
     std::{sync::atomic::Ordering, time::Duration},
@@ -235,7 +234,7 @@
     let stopping = tokio::spawn(node.stop(Duration::from_secs(5)));
     let uri = format!("http://{ready}/pistachiolane/readiness");
     let until = Instant::now() + PATIENCE;
-    while http.send_json(Method::GET, &uri, &Value::Null).await.unwrap().head.status() != 503 {
+    while http.get_status(&uri).await.unwrap() != 503 {
         assert!(Instant::now() < until, "still ready");
     }
     assert_eq!(running.await.unwrap(), "HTTP/1.1 404");
