A stop waits for the listener of callers

The request was read, sent to a gate and ran (log: attempt sent at 767.74219, left at 767.74316), and the process ended. Ruled out: links and signals (nothing disturbed the host; its process was asked to stop 2.7 s before), the gate (it answered), a lost line. Change: the task that accepts callers is one of those that a stop waits for. Test: stop_takes_nothing_it_does_not_answer, red before at its first check, green after. Conclusion: a planned stop cuts nothing it has read.

--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -241,6 +241,36 @@
     assert!(stopping.await.unwrap());
 }
 
+/// Callers that connect up to the end of a stop: what the node has read is answered before it is gone, so nothing
+/// runs after the end.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_takes_nothing_it_does_not_answer() {
+    let Site { node, upstream, listen, .. } = site().await;
+    // Without a single connection there is still the listener to wait for: it may have one in hand.
+    assert!(!node.shared().work.is_empty());
+    let callers: Vec<_> = (0..24)
+        .map(|n| {
+            tokio::spawn(async move {
+                // Ends when the node no longer listens.
+                while let Ok(mut socket) = TcpStream::connect(listen).await {
+                    let text =
+                        request("GET", "/sizing/ok", &n.to_string(), "connection: close\r\n");
+                    let mut answer = Vec::new();
+                    // A connection that is closed unread is no answer, and not work begun.
+                    if socket.write_all(text.as_bytes()).await.is_ok() {
+                        let _closed = socket.read_to_end(&mut answer).await;
+                    }
+                }
+            })
+        })
+        .collect();
+    assert!(node.stop(Duration::from_secs(5)).await);
+    let ran = upstream.ran().len();
+    sleep(Duration::from_millis(200)).await;
+    assert_eq!(upstream.ran().len(), ran, "work began after the stop had ended");
+    callers.iter().for_each(|c| c.abort());
+}
+
 /// Each kind of refusal is told to the caller and stands in the metrics under the same reason.
 #[test_case("POST", "/orders/shed", 1_200, true, 503, "service-full"; "the upstream turns it away")]
 #[test_case("GET", "/sizing/ok", 0, true, 503, "expired"; "no time left")]
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -100,7 +100,8 @@
     tokio::spawn(server.serve(controls));
     tokio::spawn(admin.serve(admins));
     tokio::spawn(Arc::clone(&gate).serve(gates));
-    tokio::spawn(Entry::new(driver).serve(callers));
+    // A stop waits for it, too: it may have just taken a connection.
+    shared.work.spawn(Entry::new(driver).serve(callers));
     tokio::spawn(run_announcements(Arc::clone(&shared), control.clone(), told));
     for feed in feed.into_iter().chain([own_settings()]) {
         tokio::spawn(run_settings(Arc::clone(&shared), control.clone(), feed));
