--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -268,7 +268,9 @@
     let ran = upstream.ran().len();
     sleep(Duration::from_millis(200)).await;
     assert_eq!(upstream.ran().len(), ran, "work began after the stop had ended");
-    callers.iter().for_each(|c| c.abort());
+    for caller in callers {
+        caller.abort();
+    }
 }
 
 /// Each kind of refusal is told to the caller and stands in the metrics under the same reason.
