A gate's 'outcome unknown' ends its attempt without a settlement

A settlement retires the hop connection and so cuts every other attempt on it; their callers get 504 while their upstreams work, also during a stop. The gate also timed out a round trip before the deadline that the entry and the upstream keep.

Change: the entry takes the gate's word as final. The gate waits for the upstream's own response at the deadline and keeps its own limit as a backstop.

Test: lost_response_leaves_others_on_the_hop_alone, red before (504).

--- a/lab/src/faults/simulation.rs
+++ b/lab/src/faults/simulation.rs
@@ -189,7 +189,7 @@
                 });
             }
             EngineAction::OutcomeUnknown(delivery) => {
-                self.send_attempt_result(delivery, CallEvent::Lost);
+                self.send_attempt_result(delivery, CallEvent::OutcomeUnknown);
             }
             EngineAction::Answer(delivery, report) => {
                 let failed = self.deliveries.get(&delivery).is_some_and(|d| d.failed);
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -5,11 +5,15 @@
 
 use {
     common::{
-        TestHost, WAIT_TIMEOUT, configuration, http_request, ready_host, start_host, status_code,
+        TestHost, WAIT_TIMEOUT, configuration, http_request, ready_host, ready_host_with_capacity,
+        start_host, status_code,
     },
-    lab::stand_in::{PLATFORM_REQUEST_ID, PlatformStandIn},
+    lab::stand_in::{Capacity, PLATFORM_REQUEST_ID, PlatformStandIn},
     serde_json::{Value, json},
-    std::{sync::atomic::Ordering, time::Duration},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     test_case::test_case,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -72,6 +76,26 @@
     assert_eq!(host.upstream.connections.load(Ordering::SeqCst), 2);
 }
 
+/// Two bookings share the connection between two nodes. The upstream drops one without a response,
+/// which must not break off the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_response_leaves_others_on_the_hop_alone() {
+    let base_service_time = Duration::from_millis(600);
+    let serving = ready_host_with_capacity(Capacity { base_service_time, ..Capacity::default() });
+    let serving = serving.await;
+    let entry = start_host(Arc::clone(&serving.store)).await;
+    entry.wait_until("ready", async || entry.readiness().await == 200).await;
+    let first = async || status_code(&entry.send_request("POST", "/orders/ok", "a1").await) == 200;
+    entry.wait_until("the first booking", first).await;
+    let later = async {
+        sleep(base_service_time / 2).await;
+        entry.send_request("POST", "/orders/ok", "a3").await
+    };
+    let (dropped, later) = tokio::join!(entry.send_request("POST", "/orders/reset", "a2"), later);
+    assert!(matches!(status_code(&dropped), 502 | 504), "{dropped}");
+    assert_eq!(status_code(&later), 200, "{later}");
+}
+
 /// A duplicate response on a connection is never returned to the next request.
 #[tokio::test(flavor = "multi_thread")]
 async fn duplicate_response_is_not_returned() {
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -128,7 +128,13 @@
                 self.on_refused(now, cx, rng, id, reason, report)
             }
             CallEvent::Unsent(id) => self.on_unsent(now, cx, rng, id),
-            CallEvent::Lost(id) => self.on_lost(now, cx, rng, id),
+            CallEvent::Lost(id) if self.spec.kind == WorkKind::NonIdempotent => {
+                self.start_settlement(id)
+            }
+            CallEvent::Lost(id) => self.on_possible_run(now, cx, rng, id, false),
+            // A settlement would repeat what the gate has said, and would close the connection
+            // that other attempts use.
+            CallEvent::OutcomeUnknown(id) => self.on_possible_run(now, cx, rng, id, true),
             CallEvent::Answered { id, report, failed } => {
                 self.on_answered(now, cx, rng, id, report, failed)
             }
@@ -222,25 +228,25 @@
         if self.in_flight.is_empty() { self.next_attempt(now, cx, rng) } else { Vec::new() }
     }
 
-    fn on_lost<R: Rng>(
+    /// Processes the end of an attempt that may have run, without a response of the upstream.
+    fn on_possible_run<R: Rng>(
         &mut self,
         now: Tick,
         cx: CallContext<'_>,
         rng: &mut R,
         id: AttemptId,
+        gate_responded: bool,
     ) -> Vec<CallAction> {
-        if self.spec.kind == WorkKind::NonIdempotent {
-            return self.start_settlement(id);
-        }
-        let Some(attempt) = self.remove_in_flight(now, id, false) else {
+        let Some(attempt) = self.remove_in_flight(now, id, gate_responded) else {
             return Vec::new();
         };
         self.may_have_run = true;
         self.possible_runs += 1;
         self.excluded_nodes.push(attempt.candidate.member.node);
+        let repeatable = self.spec.kind == WorkKind::Idempotent;
         match self.in_flight.is_empty() {
             false => Vec::new(),
-            true if self.try_spend_retry(cx) => self.next_attempt(now, cx, rng),
+            true if repeatable && self.try_spend_retry(cx) => self.next_attempt(now, cx, rng),
             true => self.finish(now, Outcome::Unknown),
         }
     }
--- a/pistachiolane/src/attempt/call_event.rs
+++ b/pistachiolane/src/attempt/call_event.rs
@@ -16,6 +16,8 @@
     Unsent(AttemptId),
     /// The connection was lost or stopped responding after part of the attempt was sent.
     Lost(AttemptId),
+    /// The gate responded that the attempt may have run and that no response will follow.
+    OutcomeUnknown(AttemptId),
     /// The head of the upstream's response arrived.
     Answered {
         /// Attempt that the response belongs to.
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -90,6 +90,8 @@
     Unsent,
     /// There is no usable response, and the attempt may have run.
     Lost,
+    /// The gate responded that the attempt may have run; there will be no response of the upstream.
+    Unknown,
     /// Response of the upstream, load report of the gate, and whether the upstream failed such that
     /// another one may succeed.
     Answered(Response<Body>, Option<LoadReport>, bool),
@@ -104,6 +106,7 @@
             Self::Refused(reason, _) => reason.name(),
             Self::Unsent => "unsent",
             Self::Lost => "lost",
+            Self::Unknown => "unknown",
             Self::Answered(_, _, true) => "failed",
             Self::Answered(..) => "answered",
             Self::Settled(_) => "settled",
@@ -261,6 +264,7 @@
             CallEvent::Refused(id, reason, _) => (id, "attempt refused, not run", reason.name()),
             CallEvent::Unsent(id) => (id, "attempt not sent", "no connection"),
             CallEvent::Lost(id) => (id, "attempt lost", "no usable response"),
+            CallEvent::OutcomeUnknown(id) => (id, "attempt lost", "outcome unknown at the gate"),
             CallEvent::Settled(id, settlement) => {
                 (id, "attempt settled", settlement.map_or("unreachable", settlement_name))
             }
@@ -307,6 +311,10 @@
                 metrics.lost.inc();
                 CallEvent::Lost(id)
             }
+            AttemptResult::Unknown => {
+                metrics.lost.inc();
+                CallEvent::OutcomeUnknown(id)
+            }
             AttemptResult::Answered(res, report, failed) => {
                 let request_bytes = self.req.body.min_size();
                 let response_bytes = res.body().size_hint().exact().unwrap_or(0);
@@ -501,8 +509,11 @@
     if let Some(reason) = res.headers().get(headers::REFUSED) {
         return AttemptResult::Refused(RefusalReason::from_name(reason.as_bytes()), report);
     }
-    if res.headers().contains_key(headers::OUTCOME) {
-        return AttemptResult::Lost;
+    match res.headers().contains_key(headers::OUTCOME) {
+        // The gate has a record of another delivery of the attempt, which only a settlement reads.
+        true if res.status() == StatusCode::CONFLICT => return AttemptResult::Lost,
+        true => return AttemptResult::Unknown,
+        false => {}
     }
     headers::strip_internal(res.headers_mut());
     let failed = matches!(
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -61,6 +61,10 @@
 /// that is ready is delivered even after the deadline.
 const MIN_BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time after the deadline that the upstream received, after which the gate closes the connection.
+/// The upstream itself responds at the deadline, and an entry cancels its attempt when the call ends.
+const UPSTREAM_DEADLINE_MARGIN: Duration = Duration::from_millis(400);
+
 /// Depth of nested calls that is assumed for a request without a depth header.
 const DEFAULT_DEPTH: u64 = 0;
 
@@ -297,7 +301,8 @@
         let request_id = prepare_request(&mut req, shared, &announced, attempt, remaining);
         shared.metrics.gate_runs.inc();
         let pool = self.current_pool(&announced);
-        let result = timeout(remaining, pool.send(req, attempt.repeatable)).await;
+        let limit = remaining + UPSTREAM_DEADLINE_MARGIN;
+        let result = timeout(limit, pool.send(req, attempt.repeatable)).await;
         let elapsed = shared.now().since(started);
         self.log_run(attempt, &result, remaining, elapsed);
         let gate = &shared.admission.gate;
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -237,3 +237,16 @@
     // A tenth more than the requests: the default retry percentage of the test calls is 10.
     assert!((100..=110).contains(&attempts), "{attempts} attempts for 100 requests");
 }
+
+/// Guards against a settlement, which closes the connection that other attempts use, after the gate
+/// itself has responded that the outcome is unknown.
+#[test_case(WorkKind::NonIdempotent, false; "non-idempotent work ends at once")]
+#[test_case(WorkKind::Idempotent, true; "idempotent work is retried")]
+fn attempt_of_unknown_outcome_is_not_settled(kind: WorkKind, retries: bool) {
+    let mut harness = CallHarness::new(kind, 2);
+    let first = harness.start();
+    let actions = harness.step(Tick(1), CallEvent::OutcomeUnknown(first));
+    assert!(!actions.iter().any(|a| matches!(a, CallAction::Settle { .. })), "{actions:?}");
+    assert_eq!(sent_attempt(&actions).map(|(_, c)| c), retries.then_some(AttemptCause::Retry));
+    assert_eq!(outcome(&actions), (!retries).then_some(Outcome::Unknown));
+}
