Uploads: routes of type upload, request bodies buffered up to 512 KiB

Bodies in chunks or beyond 64 KiB were streamed and so could be sent to one gate only.

The gate's connection window no longer lets bodies that wait in its queue block later ones.

--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -44,8 +44,8 @@
     pub http: HttpClient,
 }
 
-/// Returns a configuration with two routes for `host`: non-idempotent `orders` and idempotent
-/// `sizing`.
+/// Returns a configuration with three routes for `host`: non-idempotent `orders`, idempotent
+/// `sizing`, and `letters` for uploads.
 pub fn configuration(version: &str, host: &str) -> Value {
     let route = |name: &str, route_type| RouteRow {
         name: name.to_owned(),
@@ -55,7 +55,11 @@
         service: "huvo",
         max_attempts: 2,
     };
-    let routes = [route("orders", "non_idempotent"), route("sizing", "idempotent")];
+    let routes = [
+        route("orders", "non_idempotent"),
+        route("sizing", "idempotent"),
+        route("letters", "upload"),
+    ];
     lab::stand_in::configuration(version, &routes, &["huvo"])
 }
 
--- a/lab/tests/platform_callers.rs
+++ b/lab/tests/platform_callers.rs
@@ -3,8 +3,11 @@
 mod common;
 
 use {
-    common::{http_request, ready_host, status_code},
-    std::{sync::atomic::Ordering, time::Duration},
+    common::{http_request, ready_host, start_host, status_code},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     test_case::test_case,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -46,6 +49,30 @@
     trickle.abort();
 }
 
+/// An upload in chunks that one gate could not hand to its upstream is sent to another.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_upload_is_sent_again_after_a_refusal() {
+    let serving = ready_host().await;
+    let without_upstream = start_host(Arc::clone(&serving.store)).await;
+    without_upstream.upstream.stop();
+    let entry = start_host(Arc::clone(&serving.store)).await;
+    let read = async || status_code(&entry.send_request("GET", "/sizing/ok", "a0").await) == 200;
+    entry.wait_until("the first response", read).await;
+    let chunk = "x".repeat(40_000);
+    let body = format!("{0:x}\r\n{chunk}\r\n{0:x}\r\n{chunk}\r\n0\r\n\r\n", chunk.len());
+    for n in 0..8 {
+        // Each announcement makes the upstream that cannot be reached eligible again.
+        assert_eq!(without_upstream.send_heartbeat("i-1", "ready", n + 1, 100).await, 200);
+        let extra_headers = "connection: close\r\ntransfer-encoding: chunked\r\n";
+        let head = http_request("POST", "/letters/ok", &format!("b{n}"), extra_headers);
+        let response = entry.send_raw(&(head + &body)).await;
+        assert_eq!(status_code(&response), 200, "{response}");
+    }
+    let executed = serving.upstream.executed();
+    let sizes: Vec<usize> = executed.iter().map(|r| r.body.len()).filter(|&n| n > 0).collect();
+    assert_eq!(sizes, [2 * chunk.len(); 8]);
+}
+
 /// A request whose body stalls is rejected without running, and its connection is closed.
 #[tokio::test(flavor = "multi_thread")]
 async fn stalled_body_is_rejected() {
--- a/pistachiolane/src/node/body.rs
+++ b/pistachiolane/src/node/body.rs
@@ -28,6 +28,49 @@
     body.map_err(Into::into).boxed_unsync()
 }
 
+/// Body of which the first bytes were already read.
+#[derive(Debug)]
+pub struct PrefixedBody {
+    prefix: Bytes,
+    rest: Body,
+}
+
+impl PrefixedBody {
+    /// Creates a body that yields `prefix` and then `rest`.
+    pub fn new(prefix: Bytes, rest: Body) -> Self {
+        Self { prefix, rest }
+    }
+}
+
+impl HttpBody for PrefixedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if self.prefix.is_empty() {
+            return Pin::new(&mut self.rest).poll_frame(cx);
+        }
+        Poll::Ready(Some(Ok(Frame::data(std::mem::take(&mut self.prefix)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.prefix.is_empty() && self.rest.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let (prefix, rest) = (self.prefix.len() as u64, self.rest.size_hint());
+        let mut hint = SizeHint::new();
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper.saturating_add(prefix));
+        }
+        hint.set_lower(rest.lower().saturating_add(prefix));
+        hint
+    }
+}
+
 /// Body that passes a guard to a closure once it was read to its end, and otherwise drops the
 /// guard.
 pub struct GuardedBody<G, F> {
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -4,7 +4,7 @@
     super::{
         accept::accept,
         attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
-        body::{Body, stream},
+        body::{Body, PrefixedBody, stream},
         caller_socket::CallerSocket,
         headers,
         hop::probe_request,
@@ -20,7 +20,7 @@
         schema::{CallerLimits, WorkKind},
         tick::Tick,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Limited},
     hyper::{
         HeaderMap, Request, Response, StatusCode,
@@ -43,7 +43,7 @@
 };
 
 /// Largest request body that is buffered, so that another attempt can send it again.
-const MAX_BUFFERED_BODY_BYTES: u64 = 65_536;
+const MAX_BUFFERED_BODY_BYTES: usize = 512 << 10;
 
 /// Most bytes of a rejected body that are read and discarded, so that a caller that is still
 /// sending receives the response.
@@ -473,33 +473,54 @@
 
 /// Reads and discards the rest of a body, within limits, so that a caller that is still sending can
 /// receive the response.
-async fn discard(body: Incoming) {
+async fn discard(body: &mut Incoming) {
     let limited = Limited::new(body, MAX_DISCARDED_BYTES);
     // Closing the connection drops whatever exceeds the limits.
     let _discarded = timeout(DISCARD_TIMEOUT, limited.collect()).await;
 }
 
-/// Buffers a small body; streams a large one, or one of unknown size, which can be sent only once.
+/// Buffers a body, or streams it if it is too large for the buffer; a streamed one can be sent only
+/// once.
 async fn buffer_or_stream(
-    body: Incoming,
+    mut body: Incoming,
     max_bytes: u64,
     time_limit: Duration,
 ) -> Result<OutgoingBody, Rejection> {
     let size = body.size_hint();
     if size.lower() > max_bytes {
-        discard(body).await;
+        discard(&mut body).await;
         return Err(Rejection::BodyTooLarge(max_bytes));
     }
-    if size.upper().is_some_and(|upper| upper <= MAX_BUFFERED_BODY_BYTES) {
-        if size.upper() == Some(0) {
-            return Ok(OutgoingBody::Buffered(Bytes::new()));
+    let mut buf = BytesMut::new();
+    if size.lower() <= MAX_BUFFERED_BODY_BYTES as u64 {
+        let read = timeout(time_limit, fill_buffer(&mut buf, &mut body, max_bytes)).await;
+        if read.map_err(|_e| Rejection::BodyLate)?? {
+            return Ok(OutgoingBody::Buffered(buf.freeze()));
         }
-        let collected =
-            timeout(time_limit, body.collect()).await.map_err(|_e| Rejection::BodyLate)?;
-        let collected = collected.map_err(|_e| Rejection::BodyLost)?;
-        return Ok(OutgoingBody::Buffered(collected.to_bytes()));
     }
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let limited = Limited::new(stream(body), max_bytes).boxed_unsync();
-    Ok(OutgoingBody::Streamed(Some(limited)))
+    let body = PrefixedBody::new(buf.freeze(), stream(body));
+    Ok(OutgoingBody::Streamed(Some(Limited::new(body, max_bytes).boxed_unsync())))
+}
+
+/// Reads a body into `buf` until it ends or exceeds [`MAX_BUFFERED_BODY_BYTES`]; returns whether it
+/// ended.
+async fn fill_buffer(
+    buf: &mut BytesMut,
+    body: &mut Incoming,
+    max_bytes: u64,
+) -> Result<bool, Rejection> {
+    while buf.len() <= MAX_BUFFERED_BODY_BYTES {
+        let Some(frame) = body.frame().await else {
+            return Ok(true);
+        };
+        if let Ok(data) = frame.map_err(|_e| Rejection::BodyLost)?.into_data() {
+            buf.extend_from_slice(&data);
+        }
+        if buf.len() as u64 > max_bytes {
+            discard(body).await;
+            return Err(Rejection::BodyTooLarge(max_bytes));
+        }
+    }
+    Ok(false)
 }
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -53,6 +53,13 @@
 /// Maximum number of concurrent HTTP/2 streams on one connection between nodes.
 const MAX_STREAMS_PER_CONNECTION: u32 = 4_096;
 
+/// Receive window of a stream in bytes: the largest request body that an entry buffers.
+const STREAM_WINDOW_BYTES: u32 = 512 << 10;
+
+/// Receive window of a connection in bytes. It exceeds the bodies of the requests that wait in the
+/// queue, which would otherwise block those of all later requests on the connection.
+const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
+
 /// Maximum size of a response that is buffered until it is complete. It equals the maximum size of
 /// a request that can be sent again.
 const MAX_BUFFERED_RESPONSE_BYTES: u64 = 65_536;
@@ -190,7 +197,8 @@
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
             .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
-            .adaptive_window(true);
+            .initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
         let served = http.serve_connection(TokioIo::new(socket), service);
         tokio::pin!(served);
         let mut closing = false;
