Slow phases of a host defer starts; pick samples by distance

Cause: an upstream fixes the duration of a request at its start.

Change: a gate sends on or queues what a slow phase would cost more than its expected rest; a probe of the upstream's load path, when the last known slowness is stale, shows its start and end. A pick in a service of more than 32 upstreams weighs those of its own zone first.

--- a/pistachiolane/src/attempt/admission.rs
+++ b/pistachiolane/src/attempt/admission.rs
@@ -121,11 +121,13 @@
             }
             Err(BeginError::Duplicate) => return AttemptDecision::OutcomeUnknown,
         };
+        let expected_service_time = self.times.expected(attempt.class);
         let request = AdmissionRequest {
             remaining: Duration::from_micros(attempt.budget_us),
             target: Duration::from_micros(attempt.target_us),
-            expected_service_time: self.times.expected(attempt.class),
+            expected_service_time,
             may_queue: attempt.may_queue,
+            is_deferred: self.gate.slowness.defers(now, expected_service_time),
         };
         let start_deadlines = request.start_deadlines(now);
         let ticket = Ticket { deadline: now + request.remaining, start_deadlines, state };
--- a/pistachiolane/src/config/route_table.rs
+++ b/pistachiolane/src/config/route_table.rs
@@ -34,6 +34,7 @@
 pub struct RouteTable {
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
     connections: HashMap<String, u32>,
+    load_paths: HashMap<String, Arc<str>>,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
@@ -85,7 +86,9 @@
             host.insert(settings.prefix.clone(), Arc::new(Route::new(settings, &limits)));
         }
         let connections = document.connections.iter().map(|(k, v)| (k.clone(), *v)).collect();
-        Self { hosts, connections, limits }
+        let load_paths =
+            document.load_paths.iter().map(|(k, v)| (k.clone(), Arc::from(v.as_str()))).collect();
+        Self { hosts, connections, load_paths, limits }
     }
 
     /// Returns the route with the longest matching path prefix of a host.
@@ -102,6 +105,11 @@
         self.connections.get(service).copied()
     }
 
+    /// Returns the path on which an upstream of a service shows its load, if known.
+    pub fn load_path(&self, service: &str) -> Option<&Arc<str>> {
+        self.load_paths.get(service)
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(HashMap::len).sum()
--- a/pistachiolane/src/limits/admission_request.rs
+++ b/pistachiolane/src/limits/admission_request.rs
@@ -18,13 +18,21 @@
         pub expected_service_time: Duration,
         /// Whether the attempt may wait for a slot.
         pub may_queue: bool,
+        /// Whether the attempt should not start in the current slow phase of the upstream.
+        pub is_deferred: bool,
     }
 }
 
 impl AdmissionRequest {
     /// Creates a request without a target latency and without an expected service time.
     pub fn new(remaining: Duration, may_queue: bool) -> Self {
-        Self { remaining, target: remaining, expected_service_time: Duration::ZERO, may_queue }
+        Self {
+            remaining,
+            target: remaining,
+            expected_service_time: Duration::ZERO,
+            may_queue,
+            is_deferred: false,
+        }
     }
 
     /// Returns the longest wait after which the request may still complete before its deadline; `None`
@@ -38,6 +46,7 @@
         StartDeadlines {
             deadline: now + self.max_wait().unwrap_or_default(),
             on_time: now + self.max_on_time_wait().unwrap_or_default(),
+            service_time: self.expected_service_time,
         }
     }
 
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -180,7 +180,9 @@
         let is_late = req.max_on_time_wait().is_none();
         let slot_allowed =
             !is_late || self.slots.running() < self.limit.get() * LATE_SLOTS_PERCENT / 100;
-        if queued == 0 && slot_allowed && self.try_take_slot() {
+        // An attempt that will be late anyway isn't deferred.
+        let is_deferred = req.is_deferred && !is_late;
+        if queued == 0 && slot_allowed && !is_deferred && self.try_take_slot() {
             return AdmissionDecision::Run;
         }
         if !req.may_queue {
--- a/pistachiolane/src/limits/slowness.rs
+++ b/pistachiolane/src/limits/slowness.rs
@@ -3,7 +3,7 @@
 
 use {
     super::Average,
-    crate::tick::Tick,
+    crate::tick::{Tick, micros},
     std::{
         sync::atomic::{AtomicU32, AtomicU64, Ordering},
         time::Duration,
@@ -23,12 +23,28 @@
 /// Upper bound of the relative slowness, in percent.
 const MAX_PERCENT: u32 = 1_000;
 
+/// Slowness in percent of the usual service time from which the upstream is in a slow phase.
+const SLOW_PHASE_PERCENT: u32 = 150;
+
+/// Time that a typical slow phase adds to a request, in percent of its usual service time.
+const TYPICAL_ADDED_PERCENT: u32 = 300;
+
+/// Duration of a slow phase that is assumed until one was observed.
+const DEFAULT_SLOW_PHASE: Duration = Duration::from_millis(200);
+
+/// Duration after which a slow phase counts as the upstream's normal state, and nothing is deferred.
+const MAX_SLOW_PHASE: Duration = Duration::from_secs(1);
+
 /// Slowness that the upstream reports about itself, relative to its average.
 #[derive(Debug, Default)]
 pub struct Slowness {
     percent: AtomicU32,
     observed_at: AtomicU64,
     average: Average,
+    /// Start of the current slow phase; zero if there is none.
+    slow_since: AtomicU64,
+    /// Average duration of the observed slow phases in microseconds; zero if there was none.
+    slow_phase_us: Average,
     reported_percent: AtomicU32,
     reported_at: AtomicU64,
 }
@@ -38,10 +54,60 @@
     pub fn observe(&self, now: Tick, percent: u32) {
         let percent = percent.max(1);
         self.average.record(f64::from(percent));
+        self.observe_phase(now, percent);
         self.percent.store(percent, Ordering::Relaxed);
         self.observed_at.store(now.0, Ordering::Relaxed);
     }
 
+    fn observe_phase(&self, now: Tick, percent: u32) {
+        let slow_since = self.slow_since.load(Ordering::Relaxed);
+        match percent >= SLOW_PHASE_PERCENT {
+            true if slow_since == 0 => self.slow_since.store(now.0, Ordering::Relaxed),
+            false if slow_since > 0 => {
+                let duration = now.since(Tick(slow_since)).min(MAX_SLOW_PHASE);
+                self.slow_phase_us.record(micros(duration) as f64);
+                self.slow_since.store(0, Ordering::Relaxed);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns the age of the last observed value, or `None` if there was none.
+    pub fn age(&self, now: Tick) -> Option<Duration> {
+        let observed_at = self.observed_at.load(Ordering::Relaxed);
+        (observed_at > 0).then(|| now.since(Tick(observed_at)))
+    }
+
+    /// Whether a request of this service time should start only after the current slow phase, because
+    /// the phase is expected to end before the time that a start in it would add.
+    ///
+    /// An upstream determines the duration of a request at its start.
+    pub fn defers(&self, now: Tick, service_time: Duration) -> bool {
+        let slow_since = self.slow_since.load(Ordering::Relaxed);
+        let is_recent = self.age(now).is_some_and(|age| age <= MAX_AGE);
+        if slow_since == 0 || !is_recent || now.since(Tick(slow_since)) > MAX_SLOW_PHASE {
+            return false;
+        }
+        let added_percent =
+            self.percent.load(Ordering::Relaxed).min(MAX_PERCENT).saturating_sub(100);
+        self.is_worth_waiting(service_time, added_percent)
+    }
+
+    /// Whether a slow phase of typical slowness and duration would defer a request of this service time.
+    pub fn may_defer(&self, service_time: Duration) -> bool {
+        self.is_worth_waiting(service_time, TYPICAL_ADDED_PERCENT)
+    }
+
+    /// Compares with the average duration of slow phases: how long the current one has lasted says little
+    /// about the rest of it.
+    fn is_worth_waiting(&self, service_time: Duration, added_percent: u32) -> bool {
+        let phase_us = match self.slow_phase_us.get() {
+            0.0 => micros(DEFAULT_SLOW_PHASE) as f64,
+            phase_us => phase_us,
+        };
+        micros(service_time) as f64 * f64::from(added_percent) / 100.0 > phase_us
+    }
+
     /// Returns the slowness relative to its average in percent; 100 while there is no recent value.
     pub fn relative_percent(&self, now: Tick) -> u32 {
         let average = self.average.get();
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -7,6 +7,7 @@
     std::{
         collections::{BTreeMap, VecDeque},
         sync::Arc,
+        time::Duration,
     },
 };
 
@@ -43,11 +44,13 @@
     /// Latest start for a response within the target latency; after it, attempts that can still be on
     /// time are run before this one.
     pub on_time: Tick,
+    /// Expected service time; zero if unknown.
+    pub service_time: Duration,
 }
 
 impl From<Tick> for StartDeadlines {
     fn from(deadline: Tick) -> Self {
-        Self { deadline, on_time: deadline }
+        Self { deadline, on_time: deadline, service_time: Duration::ZERO }
     }
 }
 
@@ -84,6 +87,11 @@
         self.sub_queues.values().map(VecDeque::len).sum()
     }
 
+    /// Returns the longest expected service time of the waiting items; `None` if there are none.
+    pub fn longest_service_time(&self) -> Option<Duration> {
+        self.sub_queues.values().flatten().map(|a| a.start_deadlines.service_time).max()
+    }
+
     /// Whether no item is waiting.
     pub fn is_empty(&self) -> bool {
         self.sub_queues.is_empty()
@@ -118,11 +126,10 @@
                 }
                 return Some(Dequeued::Expired(attempt.item));
             }
-            let key = self.next_key()?;
+            let (key, index) = self.next_startable(now, gate)?;
             if !gate.try_take_slot() {
                 return None;
             }
-            let index = self.index_of_next_on_time(&key, now);
             let attempt = self.remove(&key, index)?;
             gate.release_queue_place();
             self.last_served = Some(key);
@@ -143,6 +150,19 @@
         })
     }
 
+    /// Returns the place of the next attempt that is not deferred by a slow phase of the upstream: that of
+    /// the sub-queue whose turn it is, or else of the most urgent other one.
+    fn next_startable(&self, now: Tick, gate: &Gate) -> Option<(QueueKey, usize)> {
+        let first = self.next_key()?;
+        let others = self.sub_queues.keys().filter(|key| **key != first);
+        std::iter::once(&first).chain(others).find_map(|key| {
+            let index = self.index_of_next_on_time(key, now);
+            let start = self.sub_queues.get(key)?.get(index)?.start_deadlines;
+            let is_deferred = start.on_time > now && gate.slowness.defers(now, start.service_time);
+            (!is_deferred).then(|| (key.clone(), index))
+        })
+    }
+
     /// Returns the index of the first attempt in a sub-queue that can still be on time, or 0 if there is none.
     fn index_of_next_on_time(&self, key: &QueueKey, now: Tick) -> usize {
         let attempts = self.sub_queues.get(key);
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -156,6 +156,8 @@
     settled: Cases,
     /// Load probes sent.
     probes: Counter,
+    /// Load probes sent to the local upstream.
+    upstream_probes: Counter,
     /// Ejections of upstreams because of their service time.
     ejections: Counter,
     /// Attempts that this node's gate ran.
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -255,6 +255,8 @@
         req: Request<Body>,
     ) -> Response<Body> {
         let shared = &self.shared;
+        let service_time = shared.admission.times.expected(attempt.class);
+        shared.load_probe.refresh(shared, service_time).await;
         let (ticket, slot) = match shared.admission.admit(shared.now(), &attempt) {
             AttemptDecision::Refuse(reason) => return self.refuse(&attempt, reason),
             AttemptDecision::OutcomeUnknown => return responses::unknown(StatusCode::CONFLICT),
@@ -382,7 +384,7 @@
 
     /// Returns the connection pool of the announced incarnation. Connections to an earlier
     /// incarnation close when their requests end.
-    fn current_pool(&self, announced: &Announcement) -> Arc<UpstreamPool> {
+    pub fn current_pool(&self, announced: &Announcement) -> Arc<UpstreamPool> {
         let is_announced = |i: &Arc<Incarnation>| {
             i.started_ms == announced.started_ms
                 && i.address == announced.address
@@ -433,7 +435,8 @@
         ResponseKind::Response
     }
 
-    fn record_slowness(&self, headers: &hyper::HeaderMap) {
+    /// Records the slowness that a response of the upstream shows, if it shows one.
+    pub fn record_slowness(&self, headers: &hyper::HeaderMap) {
         let slowness_header = self.shared.dialect.slowness.as_ref();
         if let Some(percent) =
             slowness_header.and_then(|(name, parse)| parse(headers.get(name)?.to_str().ok()?))
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -17,6 +17,7 @@
 mod headers;
 mod hop;
 mod integration;
+mod load_probe;
 mod node_handle;
 mod operator;
 mod pipeline;
--- a/pistachiolane/src/node/queue_task.rs
+++ b/pistachiolane/src/node/queue_task.rs
@@ -50,7 +50,7 @@
     fn drop(&mut self) {
         self.shared.admission.gate.release_slot();
         if self.shared.admission.gate.has_queue() {
-            self.shared.queue.wake.notify_one();
+            self.shared.queue.wake();
         }
     }
 }
@@ -70,6 +70,11 @@
         (Self { items, wake: Notify::new() }, rx)
     }
 
+    /// Lets the queue decide again, after something that its decisions depend on has changed.
+    pub fn wake(&self) {
+        self.wake.notify_one();
+    }
+
     /// Adds an attempt to the queue.
     pub fn push(&self, item: QueueItem) {
         // Fails only if the queue task has ended, and it runs as long as the node. The failure
@@ -109,4 +114,8 @@
         // If the attempt was cancelled, dropping the decision releases its slot.
         let _unclaimed = item.reply.send(decision);
     }
+    // A slow phase may defer what is left; only a probe shows its end.
+    if let Some(service_time) = queue.longest_service_time() {
+        shared.load_probe.request_if_stale(shared, service_time);
+    }
 }
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -12,6 +12,7 @@
         gate_server::GateServer,
         gossip_socket::GossipSocket,
         integration::Integration,
+        load_probe::run_load_probes,
         node_handle::NodeHandle,
         queue_task::run_queue,
         shared::{NodeDependencies, Shared},
@@ -97,6 +98,7 @@
     let admin = Admin::new(Arc::clone(&shared), control.clone(), handle.clone());
 
     tokio::spawn(run_queue(Arc::clone(&shared), queue_items));
+    tokio::spawn(run_load_probes(Arc::clone(&shared), Arc::clone(&gate)));
     tokio::spawn(control_loop.run());
     tokio::spawn(socket.receive(control.clone()));
     tokio::spawn(server.serve(control_listener));
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -4,6 +4,7 @@
     super::{
         dialect::HeaderDialect,
         hop::Hops,
+        load_probe::LoadProbe,
         queue_task::{QueueHandle, QueueItem},
     },
     crate::{
@@ -74,6 +75,8 @@
     pub admission: Admission,
     /// Queue of the attempts that wait for a slot.
     pub queue: QueueHandle,
+    /// Probes of the local upstream's load.
+    pub load_probe: LoadProbe,
     /// Connections to the gates of other nodes.
     pub hops: Hops,
     /// Number of attempts that this entry has created; the source of their sequence numbers.
@@ -127,6 +130,7 @@
             upstream: ArcSwapOption::empty(),
             admission: Admission::new(node),
             queue,
+            load_probe: LoadProbe::default(),
             hops: Hops::default(),
             attempt_sequence: AtomicU64::new(0),
             probes: TokenBucket::new(DEFAULT_PROBES_PER_SECOND, DEFAULT_PROBES_PER_SECOND),
--- a/pistachiolane/src/node/upstream_pool.rs
+++ b/pistachiolane/src/node/upstream_pool.rs
@@ -7,6 +7,7 @@
 use {
     super::body::Body,
     arc_swap::ArcSwapOption,
+    http_body_util::{BodyExt, Limited},
     hyper::{
         HeaderMap, Request, Response, body::Incoming, client::conn::http1,
         client::conn::http1::SendRequest,
@@ -46,6 +47,9 @@
 /// time.
 const IDLE_TIMEOUT_DIVISOR: u32 = 2;
 
+/// Largest response body that is read to keep its connection.
+const MAX_RECYCLED_BYTES: usize = 64 << 10;
+
 /// Header with the idle timeout of the upstream.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -123,6 +127,16 @@
         }
     }
 
+    /// Reads a small response body to its end and returns the connection to the pool; returns whether
+    /// that succeeded. Otherwise the connection is closed.
+    pub async fn recycle(&self, connection: UpstreamConnection, body: Incoming) -> bool {
+        let is_complete = Limited::new(body, MAX_RECYCLED_BYTES).collect().await.is_ok();
+        if is_complete {
+            self.return_connection(connection);
+        }
+        is_complete
+    }
+
     /// Returns a connection to the pool after its response was read to the end.
     pub fn return_connection(&self, mut connection: UpstreamConnection) {
         connection.idle_since = Instant::now();
--- a/pistachiolane/src/routing/pick.rs
+++ b/pistachiolane/src/routing/pick.rs
@@ -10,6 +10,10 @@
 /// Maximum number of candidates considered for one pick; a service with more is sampled.
 const MAX_SAMPLED: usize = 32;
 
+/// Minimum number of sampled candidates that are nearby and outside the entry's availability zone, and of
+/// remote ones, if there are that many.
+const MIN_SAMPLED_ELSEWHERE: usize = 8;
+
 /// Completion times within this ratio of the lowest count as equal; ties are broken at random.
 const TIE_RATIO: f64 = 1.03;
 
@@ -54,15 +58,31 @@
     pick_lowest(req.now, &candidates, &baseline, rng)
 }
 
-/// Returns all candidates, or [`MAX_SAMPLED`] consecutive ones that start at a random index.
+/// Returns all candidates, or a sample in which those of the entry's availability zone come first.
 fn sample<'a, R: Rng>(table: &'a ServiceTable, rng: &mut R) -> Vec<&'a Arc<Candidate>> {
-    let all = &table.candidates;
-    if all.len() <= MAX_SAMPLED {
-        return all.iter().collect();
+    if table.candidates.len() <= MAX_SAMPLED {
+        return table.candidates.iter().collect();
     }
-    let start = rng.random_range(0..all.len());
-    // A window of the table, whose node order is random with respect to load and location.
-    (0..MAX_SAMPLED).map(|i| &all[(start + i) % all.len()]).collect()
+    let [zone, region, remote] = table.by_distance();
+    let elsewhere =
+        region.len().min(MIN_SAMPLED_ELSEWHERE) + remote.len().min(MIN_SAMPLED_ELSEWHERE);
+    let mut sampled = Vec::with_capacity(MAX_SAMPLED);
+    sampled.extend(window(zone, MAX_SAMPLED - elsewhere, rng));
+    let left = MAX_SAMPLED - sampled.len() - remote.len().min(MIN_SAMPLED_ELSEWHERE);
+    sampled.extend(window(region, left, rng));
+    sampled.extend(window(remote, MAX_SAMPLED - sampled.len(), rng));
+    sampled
+}
+
+/// Returns up to `count` consecutive candidates from a random index on; their order is random with
+/// respect to load.
+fn window<'a, R: Rng>(
+    candidates: &'a [Arc<Candidate>],
+    count: usize,
+    rng: &mut R,
+) -> impl Iterator<Item = &'a Arc<Candidate>> {
+    let start = rng.random_range(0..candidates.len().max(1));
+    candidates.iter().cycle().skip(start).take(count.min(candidates.len()))
 }
 
 /// Excludes remote candidates if they aren't allowed and a nearby one exists.
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -1,7 +1,7 @@
 //! Upstreams of one service, with measurements of the service as a whole.
 
 use {
-    super::Candidate,
+    super::{Candidate, Distance},
     crate::{
         limits::{Average, Quantile, RetryBudget},
         schema::GateState,
@@ -49,7 +49,7 @@
 pub struct ServiceTable {
     /// Service name.
     pub name: Arc<str>,
-    /// Upstreams of the service.
+    /// Upstreams of the service in increasing order of distance.
     pub candidates: Vec<Arc<Candidate>>,
     /// Measurements of the service.
     pub state: Arc<ServiceState>,
@@ -57,10 +57,25 @@
 
 impl ServiceTable {
     /// Creates a table of the given upstreams.
-    pub fn new(name: Arc<str>, candidates: Vec<Arc<Candidate>>, state: Arc<ServiceState>) -> Self {
+    pub fn new(
+        name: Arc<str>,
+        mut candidates: Vec<Arc<Candidate>>,
+        state: Arc<ServiceState>,
+    ) -> Self {
+        candidates.sort_by_key(|c| c.distance);
         Self { name, candidates, state }
     }
 
+    /// Returns the candidates in the entry's availability zone, in other zones of its region and in other
+    /// regions.
+    pub fn by_distance(&self) -> [&[Arc<Candidate>]; 3] {
+        let zone_end = self.candidates.partition_point(|c| c.distance <= Distance::Zone);
+        let region_end = self.candidates.partition_point(|c| c.distance <= Distance::Region);
+        let (nearby, remote) = self.candidates.split_at(region_end);
+        let (zone, region) = nearby.split_at(zone_end);
+        [zone, region, remote]
+    }
+
     /// Returns the candidate of a node.
     pub fn candidate(&self, node: u64) -> Option<&Arc<Candidate>> {
         self.candidates.iter().find(|c| c.member.node == node)
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -251,6 +251,7 @@
         target: ms(target_ms),
         expected_service_time: ms(expected_ms),
         may_queue: true,
+        is_deferred: false,
     }
 }
 
@@ -285,7 +286,11 @@
     let mut queue = WaitQueue::default();
     for (item, on_time) in [(1, Tick(10)), (2, Tick(100)), (3, Tick(100))] {
         assert_eq!(gate.admit_within(SECOND, true), AdmissionDecision::Queue);
-        queue.push(queue_key(""), StartDeadlines { deadline: Tick(1_000), on_time }, item);
+        queue.push(
+            queue_key(""),
+            StartDeadlines { deadline: Tick(1_000), on_time, service_time: Duration::ZERO },
+            item,
+        );
     }
     let mut order = Vec::new();
     while !queue.is_empty() {
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -210,3 +210,28 @@
     table.candidates[0].record_report(NOW, &LoadReport { state, ..report(1, 2, 90_000) });
     assert_eq!(table.eject_stragglers(NOW).len(), expected);
 }
+
+/// Pattern: a service of a large fleet has many upstreams in each of several zones, most of them busy. An
+/// idle one in the entry's own zone is found, and only a few candidates of other zones are weighed.
+#[test]
+fn pick_in_a_large_fleet_finds_the_idle_upstream_of_its_zone() {
+    let by_place = |place: u64| match place % 9 {
+        0 => Distance::Zone,
+        1 | 2 => Distance::Region,
+        _ => Distance::Remote,
+    };
+    let distances: Vec<Distance> = (0..144).map(by_place).collect();
+    let table = table(&distances);
+    for candidate in &table.candidates {
+        let is_idle = candidate.distance == Distance::Zone && candidate.member.node % 4 == 1;
+        let running = if is_idle { 1 } else { 12 };
+        candidate.record_report(NOW, &report(1, running, 100_000));
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    let req = PickRequest { now: NOW, excluded_nodes: &[], allow_remote: true };
+    let in_zone = (0..200)
+        .filter_map(|_| pick(&table, req, &mut rng))
+        .filter(|p| p.candidate.distance == Distance::Zone && p.estimate.utilisation < 1.0)
+        .count();
+    assert!(in_zone >= 198, "{in_zone} of 200 picks");
+}
