Idle connections wake nobody; first start of a fleet registers a few nodes

Each node pinged each of its hops twice a second from both ends, also idle ones, and woke every 20 ms for membership.

Change: the kernel's keep-alive detects dead idle connections; HTTP/2 pings run only with requests in flight. Membership wakes every 50 ms. A node joins through registered ones and registers itself only if there is none.

--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -28,7 +28,7 @@
 };
 
 /// Interval between two steps of the membership protocol, each with a check of the routing table.
-const MEMBERSHIP_TIMER_INTERVAL: Duration = Duration::from_millis(20);
+const MEMBERSHIP_TIMER_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Maximum number of commands that wait for the loop.
 const MAX_QUEUED_COMMANDS: usize = 4_096;
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -8,6 +8,7 @@
         queue_task::{QueueDecision, QueueItem, SlotGuard},
         responses,
         shared::Shared,
+        socket_options::configure,
         upstream_pool::{UpstreamConnection, UpstreamError, UpstreamPool},
     },
     crate::{
@@ -44,12 +45,6 @@
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
-/// Interval between two pings on a connection between nodes.
-pub const PING_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time limit for the acknowledgement of a ping, after which a connection between nodes is closed.
-pub const PING_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Maximum number of concurrent HTTP/2 streams on one connection between nodes.
 const MAX_STREAMS_PER_CONNECTION: u32 = 4_096;
 
@@ -160,8 +155,10 @@
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
             let socket = accept(&listener, "gate").await;
-            // If this fails, the connection works with a higher latency.
-            let _ignored = socket.set_nodelay(true);
+            if let Err(e) = configure(&socket) {
+                log::debug!(target: "gate", "cannot configure a connection, closing it: {e}");
+                continue;
+            }
             let gate = Arc::clone(&self);
             self.open_connections.spawn(async move { gate.serve_connection(socket).await });
         }
@@ -194,8 +191,6 @@
         });
         let mut http = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
         http.timer(TokioTimer::new())
-            .keep_alive_interval(PING_INTERVAL)
-            .keep_alive_timeout(PING_TIMEOUT)
             .max_concurrent_streams(MAX_STREAMS_PER_CONNECTION)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
--- a/pistachiolane/src/node/hop.rs
+++ b/pistachiolane/src/node/hop.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         body::{Body, full},
-        gate_server::{PING_INTERVAL, PING_TIMEOUT},
+        socket_options::configure,
     },
     crate::schema::MemberRecord,
     arc_swap::ArcSwapOption,
@@ -31,6 +31,12 @@
 /// Time limit for a new connection, including its HTTP/2 handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Interval between two pings on a connection with requests in flight.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time limit for the acknowledgement of a ping, after which the connection is closed.
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Most tries to send a request; the second uses a new connection if the first one has just closed.
 const MAX_SEND_TRIES: usize = 2;
 
@@ -163,12 +169,11 @@
 async fn connect(address: SocketAddr, number: u64) -> Result<HopConnection, HopError> {
     let connected = timeout(CONNECT_TIMEOUT, async {
         let socket = TcpStream::connect(address).await.ok()?;
-        socket.set_nodelay(true).ok()?;
+        configure(&socket).ok()?;
         let mut http = Builder::new(TokioExecutor::new());
         http.timer(TokioTimer::new())
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
-            .keep_alive_while_idle(true)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
             .initial_connection_window_size(STREAM_WINDOW_BYTES * 16);
         http.handshake(TokioIo::new(socket)).await.ok()
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -27,6 +27,7 @@
 mod responses;
 mod run;
 mod shared;
+mod socket_options;
 mod status;
 mod store_task;
 mod upstream_pool;
--- a/pistachiolane/src/node/store_task.rs
+++ b/pistachiolane/src/node/store_task.rs
@@ -52,9 +52,9 @@
 /// Maximum wait for an answer of a registered node after a listing.
 const JOIN_WAIT: Duration = Duration::from_millis(900);
 
-/// Maximum wait after a listing without any registration, as at the first start of a fleet. The nodes
-/// that wait least register themselves, and the others find them.
-const FIRST_START_WAIT: Duration = Duration::from_secs(4);
+/// Maximum wait after a first listing without any registration, as at the first start of a fleet. The
+/// nodes that wait least register themselves, and the others find them.
+const FIRST_START_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Range of factors that spreads the waits of nodes that start at the same time.
 const JOIN_JITTER_FACTORS: std::ops::Range<f64> = 0.1..1.0;
@@ -374,9 +374,11 @@
         match listing {
             Ok(listing) => {
                 dependency.record_success(MEMBERS_KIND);
-                if listing.items.is_empty() {
-                    max_wait = FIRST_START_WAIT;
-                }
+                max_wait = match listings {
+                    1 if listing.items.is_empty() => FIRST_START_WAIT,
+                    _ if listing.items.is_empty() => Duration::ZERO,
+                    _ => JOIN_WAIT,
+                };
                 control.add_seeds(listing.items.iter().filter_map(parse_address).collect()).await;
             }
             Err(e) => dependency.record_failure(MEMBERS_KIND, &e),
--- a/pistachiolane/src/node/upstream_pool.rs
+++ b/pistachiolane/src/node/upstream_pool.rs
@@ -5,7 +5,7 @@
 //! response to a later request.
 
 use {
-    super::body::Body,
+    super::{body::Body, socket_options::configure},
     arc_swap::ArcSwapOption,
     http_body_util::{BodyExt, Limited},
     hyper::{
@@ -13,7 +13,6 @@
         client::conn::http1::SendRequest,
     },
     hyper_util::rt::TokioIo,
-    socket2::{SockRef, TcpKeepalive},
     std::{
         fmt,
         net::SocketAddr,
@@ -30,10 +29,6 @@
 /// Time limit for connecting to the upstream, which is on the same host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Time after which a connection to the upstream is closed if bytes or keep-alive probes stay
-/// unacknowledged.
-const DEAD_CONNECTION_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Maximum idle time of a connection that is reused for a repeatable request; the limit is lower if
 /// the upstream announces a short idle timeout.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
@@ -233,14 +228,3 @@
 fn take_connection(idle: &IdleConnection) -> Option<UpstreamConnection> {
     idle.connection.lock().unwrap_or_else(PoisonError::into_inner).take()
 }
-
-fn configure(socket: &TcpStream) -> std::io::Result<()> {
-    socket.set_nodelay(true)?;
-    let socket = SockRef::from(socket);
-    socket.set_tcp_user_timeout(Some(DEAD_CONNECTION_TIMEOUT))?;
-    let probes = TcpKeepalive::new()
-        .with_time(DEAD_CONNECTION_TIMEOUT)
-        .with_interval(DEAD_CONNECTION_TIMEOUT / 2)
-        .with_retries(2);
-    socket.set_tcp_keepalive(&probes)
-}
