Bytes without end are cut off

Cause: a signed response without a length whose bytes do not end was streamed to its caller, and held a slot and a connection, for as long as the caller read. Heads without end were bounded by the library's default only.

Change: a response of unknown length fails one second after the deadline that its caller stated; heads of upstreams are limited to 64 KiB.

Test: bytes_without_end_are_cut_off, five cases; that of the signed body was red before (still sending after 3 s), the others held.

--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -29,6 +29,9 @@
 /// Size of a large response body in bytes, more than socket buffers hold.
 const LARGE_BYTES: usize = 24 << 20;
 
+/// Size of one write of bytes without end.
+const ENDLESS_WRITE_BYTES: usize = 4 << 10;
+
 /// Maximum number of headers in a request.
 const MAX_HEADERS: usize = 32;
 
@@ -48,7 +51,9 @@
 /// Upstream that speaks the platform's protocol.
 ///
 /// The last segment of the request path selects its behaviour: `foreign` (mismatched response), `unsigned`, `cut`,
-/// `extra`, `reset`, `unframed`, `shed`, `slow` or `large`; any other segment gets a valid response.
+/// `extra`, `reset`, `unframed`, `shed`, `slow` or `large`, or, for bytes until the node closes the connection,
+/// `endless-head`, `endless-noise`, `endless-unsigned`, `endless-body` or `endless-extra`; any other segment gets a
+/// valid response.
 #[derive(Debug)]
 pub struct PlatformUpstream {
     /// Instance id.
@@ -234,12 +239,37 @@
                         self.cancelled.fetch_add(1, Ordering::SeqCst);
                     })?;
                 }
+                "endless-head" => {
+                    self.write_without_end(&mut socket, "HTTP/1.1 200 OK\r\nx-filler: ").await?;
+                }
+                "endless-noise" => self.write_without_end(&mut socket, "").await?,
+                "endless-unsigned" => {
+                    let head = format!("HTTP/1.1 200 OK\r\n{PLATFORM_REQUEST_ID}: {id}\r\n\r\n");
+                    self.write_without_end(&mut socket, &head).await?;
+                }
+                "endless-body" => {
+                    let head = format!("HTTP/1.1 200 OK\r\n{signed}\r\n\r\n");
+                    self.write_without_end(&mut socket, &head).await?;
+                }
+                "endless-extra" => {
+                    self.write_without_end(&mut socket, &String::from_utf8_lossy(&valid)).await?;
+                }
                 _ => socket.write_all(&valid).await?,
             }
         }
         Ok(())
     }
 
+    /// Writes a start and then bytes until the peer closes the connection, which counts as cancelled.
+    async fn write_without_end(&self, socket: &mut TcpStream, start: &str) -> std::io::Result<()> {
+        let mut written = socket.write_all(start.as_bytes()).await;
+        while written.is_ok() {
+            written = socket.write_all(&[b'.'; ENDLESS_WRITE_BYTES]).await;
+        }
+        self.cancelled.fetch_add(1, Ordering::SeqCst);
+        written
+    }
+
     /// Runs a request in a slot until it is done or its connection closes.
     ///
     /// It takes `fixed_time`, or else the service time under the current load.
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -18,7 +18,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
-        time::{Instant, sleep},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -96,6 +96,29 @@
     assert_eq!(status_code(&later), 200, "{later}");
 }
 
+/// An upstream sends bytes until the node closes the connection. The caller gets no such byte in a
+/// complete response, the connection is closed in time, and later requests are served.
+#[test_case("endless-head", false; "head")]
+#[test_case("endless-noise", false; "no response")]
+#[test_case("endless-unsigned", false; "body of a response without a signature")]
+#[test_case("endless-body", false; "body of a response with a signature")]
+#[test_case("endless-extra", true; "after a response")]
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_are_cut_off(behaviour: &str, is_answered: bool) {
+    let host = ready_host().await;
+    let path = format!("/sizing/{behaviour}");
+    // Deadline of the request of 1.2 s, one second for a response that is late, and a margin.
+    let limit = Duration::from_millis(3_000);
+    let response = timeout(limit, host.send_request("GET", &path, "a1")).await;
+    let response = response.expect("still sending");
+    let is_complete = status_code(&response) == 200 && response.ends_with("0\r\n\r\n");
+    let is_whole = status_code(&response) == 200 && response.ends_with("answer to a1");
+    assert!(!is_complete && is_whole == is_answered, "{} bytes", response.len());
+    let closed = async || host.upstream.cancelled.load(Ordering::SeqCst) >= 1;
+    host.wait_until("connection closed", closed).await;
+    assert_eq!(status_code(&host.send_request("GET", "/sizing/ok", "a2").await), 200);
+}
+
 /// A duplicate response on a connection is never returned to the next request.
 #[tokio::test(flavor = "multi_thread")]
 async fn duplicate_response_is_not_returned() {
--- a/pistachiolane/src/node/body.rs
+++ b/pistachiolane/src/node/body.rs
@@ -10,6 +10,7 @@
         pin::Pin,
         task::{Context, Poll},
     },
+    tokio::time::{Instant, Sleep, sleep_until},
 };
 
 /// Error while reading a body.
@@ -71,6 +72,42 @@
     }
 }
 
+/// Body that fails if it has not ended at a time.
+pub struct TimedBody {
+    inner: Body,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl TimedBody {
+    /// Limits a body to the time until `deadline`.
+    pub fn new(inner: Body, deadline: Instant) -> Self {
+        Self { inner, timer: Box::pin(sleep_until(deadline)) }
+    }
+}
+
+impl HttpBody for TimedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if self.timer.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err("the response body did not end in time".into())));
+        }
+        Pin::new(&mut self.inner).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.inner.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.inner.size_hint()
+    }
+}
+
 /// Body that passes a guard to a closure once it was read to its end, and otherwise drops the
 /// guard.
 pub struct GuardedBody<G, F> {
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -4,7 +4,7 @@
     super::{
         accept::accept,
         attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
-        body::{Body, PrefixedBody, stream},
+        body::{Body, PrefixedBody, TimedBody, stream},
         caller_socket::CallerSocket,
         headers,
         hop::probe_request,
@@ -70,6 +70,10 @@
 /// Depth at which a nested call is rejected, as in a loop of services.
 const MAX_CALL_DEPTH: u64 = 16;
 
+/// Time after the deadline that a caller states, at which a response that is still arriving is cut
+/// off: an upstream may send without end, and the caller has left.
+const RESPONSE_GRACE: Duration = Duration::from_secs(1);
+
 /// Time limit for a load probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -273,6 +277,7 @@
         {
             return Err(Rejection::TooDeep);
         }
+        let caller_budget = headers::parse_number(&head.headers, &shared.dialect.budget_ms);
         let (spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
         let table = shared.routing_table.load().service(&route.service).map(Arc::clone);
         let result = match table {
@@ -287,7 +292,15 @@
             }
         };
         self.record_call(&result, id, &route, started, spec);
-        Ok(self.build_response(result))
+        let res = self.build_response(result);
+        Ok(match caller_budget {
+            Some(ms) if res.body().size_hint().exact().is_none() => {
+                let end = started + Duration::from_millis(ms) + RESPONSE_GRACE;
+                let end = shared.instant(end);
+                res.map(|body| TimedBody::new(body, end).boxed_unsync())
+            }
+            _ => res,
+        })
     }
 
     fn record_call(
--- a/pistachiolane/src/node/upstream_pool.rs
+++ b/pistachiolane/src/node/upstream_pool.rs
@@ -42,6 +42,9 @@
 /// time.
 const IDLE_TIMEOUT_DIVISOR: u32 = 2;
 
+/// Largest response head in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Largest response body that is read to keep its connection.
 const MAX_RECYCLED_BYTES: usize = 64 << 10;
 
@@ -174,7 +177,9 @@
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let socket = connecting.map_err(|e| unsent(&e))?.map_err(|e| unsent(&e))?;
         configure(&socket).map_err(|e| unsent(&e))?;
-        let handshake = http1::handshake(TokioIo::new(socket)).await;
+        let mut http = http1::Builder::new();
+        http.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = http.handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(|e| unsent(&e))?;
         let task = tokio::spawn(async move {
             if let Err(e) = connection.await {
