--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -13,6 +13,9 @@
 /// Number of hosts for which the mean interval applies; above it, the fault rate grows with the number of hosts.
 const REFERENCE_HOSTS: usize = 6;
 
+/// Interval for which one older copy of the store is scheduled.
+const OLDER_COPY_INTERVAL: Duration = Duration::from_secs(30);
+
 /// A network link of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkKind {
@@ -56,6 +59,9 @@
     StoreLosesResponses,
     /// The store discards its history, so that watches must restart.
     StoreDropsHistory,
+    /// The store is away for a moment and comes back from a copy that is as old as the duration. The operator
+    /// writes the latest configuration again.
+    StoreOlderCopy,
     /// The upstream drains, announces its stop and stops; another one takes over its address.
     UpstreamDrains,
     /// The upstream stops without draining; another one takes over its address.
@@ -102,6 +108,15 @@
         at +=
             mean_interval.mul_f64(-rng.random_range(f64::EPSILON..1.0).ln()).min(mean_interval * 5);
     }
+    // Drawn last, so that the faults above are those of earlier versions for the same seed.
+    for _ in 0..soak_duration.as_secs() / OLDER_COPY_INTERVAL.as_secs() + 1 {
+        faults.push(Fault {
+            at: soak_duration.mul_f64(rng.random_range(0.1..0.8)),
+            host: 0,
+            kind: FaultKind::StoreOlderCopy,
+            duration: Duration::from_millis(rng.random_range(300..3_000)),
+        });
+    }
     faults.sort_by_key(|f| f.at);
     faults
 }
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -66,6 +66,9 @@
 /// Delay of every call to a slow store, in milliseconds.
 const SLOW_STORE_DELAY_MS: u64 = 700;
 
+/// Time for which the store is away before it comes back from an older copy.
+const STORE_RESTORE_TIME: Duration = Duration::from_millis(400);
+
 /// Parameters of a soak.
 #[derive(Clone, Debug)]
 pub struct SoakSpec {
@@ -250,6 +253,17 @@
                 self.store.faults.lost_write_responses.fetch_add(2, Ordering::SeqCst);
             }
             FaultKind::StoreDropsHistory => self.store.discard_history(),
+            FaultKind::StoreOlderCopy => {
+                let copy = self.store.copy();
+                sleep(fault.duration).await;
+                let _disturbance = self.store_disturbances.begin();
+                self.store.faults.down.store(true, Ordering::SeqCst);
+                sleep(STORE_RESTORE_TIME).await;
+                self.store.restore(copy);
+                self.store.faults.down.store(false, Ordering::SeqCst);
+                let latest = lock(&self.versions).len() - 1;
+                self.store.write_as_operator("config", "main", configuration(latest));
+            }
             FaultKind::UpstreamDrains => host.replace_upstream(true).await?,
             FaultKind::UpstreamCrashes => host.replace_upstream(false).await?,
             FaultKind::ConfigurationChange => self.write_next_version(),
--- a/pistachiolane/tests/config.rs
+++ b/pistachiolane/tests/config.rs
@@ -3,9 +3,9 @@
 use {
     pistachiolane::{
         config::{
-            ActiveSubtrees, ApplyResult, Change, ChangeAction, ChangeEvent, ChangeOutcome,
+            ActiveSubtrees, ApplyResult, Change, ChangeAction, ChangeEvent, ChangeOutcome, ROUTES,
             ReadResult, RequestPolicy, SettingsTree, WriteResult, check_document, get_path,
-            new_token_digest, set_path, verify_token,
+            lost_subtrees, new_token_digest, set_path, verify_token,
         },
         schema::{RootDocument, Subtree, WorkKind},
         tick::Tick,
@@ -216,3 +216,17 @@
         }
     }
 }
+
+/// Pattern: the store came back from an older copy. What is in force and lost there is written again, but
+/// for the routes, which the platform's operator writes.
+#[test_case("shop", 5, None, true; "missing")]
+#[test_case("shop", 5, Some(4), true; "older")]
+#[test_case("shop", 5, Some(5), false; "same")]
+#[test_case("shop", 5, Some(6), false; "newer")]
+#[test_case(ROUTES, 5, None, false; "routes")]
+fn lost_subtree_is_written_again(name: &str, in_force: u64, stored: Option<u64>, lost: bool) {
+    let in_force = subtree(name, in_force, &json!({}));
+    let stored: Vec<Subtree> = stored.map(|v| subtree(name, v, &json!({}))).into_iter().collect();
+    let expected: Vec<Subtree> = lost.then(|| in_force.clone()).into_iter().collect();
+    assert_eq!(lost_subtrees(vec![in_force], &stored), expected);
+}
