--- a/lab/src/soak/fault.rs
+++ b/lab/src/soak/fault.rs
@@ -109,7 +109,7 @@
             mean_interval.mul_f64(-rng.random_range(f64::EPSILON..1.0).ln()).min(mean_interval * 5);
     }
     // Drawn last, so that the faults above are those of earlier versions for the same seed.
-    for _ in 0..soak_duration.as_secs() / OLDER_COPY_INTERVAL.as_secs() + 1 {
+    for _ in 0..=soak_duration.as_secs() / OLDER_COPY_INTERVAL.as_secs() {
         faults.push(Fault {
             at: soak_duration.mul_f64(rng.random_range(0.1..0.8)),
             host: 0,
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -12,7 +12,7 @@
     capacity::{Capacity, WhenFull},
     configuration::{RouteRow, configuration},
     host_outage::{HostOutage, OutageKind},
-    platform::{CallCounts, PlatformFaults, PlatformStandIn},
+    platform::{CallCounts, PlatformFaults, PlatformStandIn, StoreContents},
     platform_upstream::{PLATFORM_REQUEST_ID, PlatformUpstream, ReceivedRequest},
     upstream::{LOAD_REQUEST_ID, UpstreamBehaviour, UpstreamStandIn},
 };
--- a/lab/src/stand_in/platform.rs
+++ b/lab/src/stand_in/platform.rs
@@ -53,7 +53,7 @@
 
 /// Contents of the store at one moment.
 #[derive(Clone, Debug, Default)]
-pub struct Store {
+pub struct StoreContents {
     revision: u64,
     objects: BTreeMap<(String, String), StoredObject>,
     history: Vec<StoreEvent>,
@@ -80,7 +80,7 @@
 pub struct PlatformStandIn {
     /// Injected faults.
     pub faults: PlatformFaults,
-    store: Mutex<Store>,
+    store: Mutex<StoreContents>,
     revision: watch::Sender<u64>,
     /// Number of times that the store came back from a copy.
     era: AtomicU64,
@@ -153,12 +153,12 @@
     }
 
     /// Returns a copy of the store's contents.
-    pub fn copy(&self) -> Store {
+    pub fn copy(&self) -> StoreContents {
         self.store().clone()
     }
 
     /// Replaces the contents by an older copy and starts a new era. Waiting watches end.
-    pub fn restore(&self, copy: Store) {
+    pub fn restore(&self, copy: StoreContents) {
         let revision = copy.revision;
         *self.store() = copy;
         self.era.fetch_add(1, Ordering::SeqCst);
@@ -230,7 +230,7 @@
         }
     }
 
-    fn store(&self) -> MutexGuard<'_, Store> {
+    fn store(&self) -> MutexGuard<'_, StoreContents> {
         self.store.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/pistachiolane/src/node/load_probe.rs
+++ b/pistachiolane/src/node/load_probe.rs
@@ -2,8 +2,7 @@
 
 use {
     super::{
-        body::full, gate_server::GateServer, headers::strip_hop_by_hop, shared::Shared,
-        upstream_pool::UpstreamPool,
+        body::full, gate_server::GateServer, shared::Shared, upstream_pool::UpstreamPool,
     },
     hyper::{HeaderMap, Request, header},
     std::{sync::Arc, time::Duration},
@@ -81,10 +80,6 @@
 async fn probe(path: &str, pool: &UpstreamPool) -> Option<HeaderMap> {
     let req = Request::get(path).header(header::HOST, "upstream").body(full("")).ok()?;
     let (res, connection) = pool.send(req, true).await.ok()?;
-    let (mut parts, body) = res.into_parts();
-    if pool.recycle(connection, body).await {
-        strip_hop_by_hop(&mut parts.headers);
-        return Some(parts.headers);
-    }
-    None
+    let (parts, body) = res.into_parts();
+    pool.recycle(connection, body).await.then_some(parts.headers)
 }
--- a/pistachiolane/src/node/operator.rs
+++ b/pistachiolane/src/node/operator.rs
@@ -197,7 +197,8 @@
                     shared,
                     control,
                     &members,
-                    (written.clone(), expected_revision),
+                    written.clone(),
+                    expected_revision,
                     other,
                 )),
             }
@@ -219,7 +220,8 @@
     shared: &Shared,
     control: &ControlHandle,
     members: &[MemberRecord],
-    (subtree, expected_revision): (Subtree, u64),
+    subtree: Subtree,
+    expected_revision: u64,
     action: ChangeAction,
 ) -> Option<ChangeEvent> {
     match action {
