--- a/pistachiolane/src/node/load_probe.rs
+++ b/pistachiolane/src/node/load_probe.rs
@@ -1,9 +1,7 @@
 //! Requests to the local upstream for its current load, when no response has shown it recently.
 
 use {
-    super::{
-        body::full, gate_server::GateServer, shared::Shared, upstream_pool::UpstreamPool,
-    },
+    super::{body::full, gate_server::GateServer, shared::Shared, upstream_pool::UpstreamPool},
     hyper::{HeaderMap, Request, header},
     std::{sync::Arc, time::Duration},
     tokio::{
