--- a/pistachiolane/src/routing/pick.rs
+++ b/pistachiolane/src/routing/pick.rs
@@ -1,15 +1,14 @@
 //! Selection of the upstream with the lowest expected completion time.
 
 use {
-    super::{Candidate, Distance, Estimate, ServiceBaseline, ServiceTable},
+    super::{
+        Candidate, Distance, Estimate, ServiceBaseline, ServiceTable, service_table::MAX_SAMPLED,
+    },
     crate::{schema::GateState, tick::Tick},
     rand::{Rng, RngExt},
     std::sync::Arc,
 };
 
-/// Maximum number of candidates considered for one pick; a service with more is sampled.
-const MAX_SAMPLED: usize = 32;
-
 /// Minimum number of sampled candidates that are nearby and outside the entry's availability zone, and of
 /// remote ones, if there are that many.
 const MIN_SAMPLED_ELSEWHERE: usize = 8;
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -20,6 +20,9 @@
 /// upstreams with a reported service time.
 const MAX_EJECTED_DIVISOR: usize = 3;
 
+/// Maximum number of candidates considered for one pick; a service with more is sampled.
+pub(super) const MAX_SAMPLED: usize = 32;
+
 /// Retry delay while a service has no usable upstream; a restarting upstream is back within a second.
 pub const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -49,7 +52,7 @@
 pub struct ServiceTable {
     /// Service name.
     pub name: Arc<str>,
-    /// Upstreams of the service in increasing order of distance.
+    /// Upstreams of the service; more than [`MAX_SAMPLED`] are in increasing order of distance.
     pub candidates: Vec<Arc<Candidate>>,
     /// Measurements of the service.
     pub state: Arc<ServiceState>,
@@ -62,12 +65,14 @@
         mut candidates: Vec<Arc<Candidate>>,
         state: Arc<ServiceState>,
     ) -> Self {
-        candidates.sort_by_key(|c| c.distance);
+        if candidates.len() > MAX_SAMPLED {
+            candidates.sort_by_key(|c| c.distance);
+        }
         Self { name, candidates, state }
     }
 
-    /// Returns the candidates in the entry's availability zone, in other zones of its region and in other
-    /// regions.
+    /// Returns the candidates of a sampled service in the entry's availability zone, in other zones of its
+    /// region and in other regions.
     pub fn by_distance(&self) -> [&[Arc<Candidate>]; 3] {
         let zone_end = self.candidates.partition_point(|c| c.distance <= Distance::Zone);
         let region_end = self.candidates.partition_point(|c| c.distance <= Distance::Region);
