A node that is cut off from its peers watches the store itself

Cause, by reading: only three nodes of a region watch the store. One that is cut off from all others, but not from the store, would get no configuration until it had found those before it dead, one in 250 ms.

Change: without a packet for 1.5 s a node counts as isolated and watches. Test: node_without_peers_notices_it.

--- a/lab/tests/membership.rs
+++ b/lab/tests/membership.rs
@@ -103,6 +103,26 @@
     assert_eq!(missing, 0, "of {size} nodes without the settings");
 }
 
+/// Pattern: a node of a large fleet is cut off from all others, but not from the store. It must watch the
+/// store itself, long before it has found all the others dead.
+#[test_case(12; "12 nodes")]
+#[test_case(300; "300 nodes")]
+fn node_without_peers_notices_it(size: u16) {
+    let mut net = SimulatedNetwork::new(size, 0.01, SEED);
+    net.run(Duration::from_secs(20));
+    let isolated = |net: &SimulatedNetwork| -> Vec<u64> {
+        let nodes = net.nodes.values().filter(|m| m.is_isolated(net.now));
+        nodes.map(|m| m.local_record().node).collect()
+    };
+    assert_eq!(isolated(&net), []);
+    net.partitioned.insert(control_address(5));
+    net.run(Duration::from_secs(2));
+    assert_eq!(isolated(&net), [6]);
+    net.partitioned.clear();
+    net.run(Duration::from_secs(2));
+    assert_eq!(isolated(&net), []);
+}
+
 #[test]
 fn steady_state_traffic_is_bounded() {
     let mut net = SimulatedNetwork::new(150, 0.0, SEED);
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -12,7 +12,7 @@
         timing::{
             ACK_TIMEOUT, CROSS_REGION_FORWARDERS, CROSS_REGION_PINGS_PER_SECOND, DEAD_RETENTION,
             EXCHANGE_PERIOD, EXCHANGE_TIME_PER_MEMBER, INDIRECT_PROBES, INDIRECT_TIMEOUT,
-            JOIN_PERIOD, JOIN_PINGS, JOIN_TIMEOUT, LOAD_REPORT_FANOUT, PAUSE_THRESHOLD,
+            ISOLATION_TIMEOUT, JOIN_PERIOD, JOIN_PINGS, JOIN_TIMEOUT, LOAD_REPORT_FANOUT, PAUSE_THRESHOLD,
             PROBE_PERIOD, REJOIN_PERIOD, SUSPECT_CHECK_PERIOD, SUSPICION_TIMEOUT, URGENT_FANOUT,
             URGENT_SEND_PERIOD,
         },
@@ -117,6 +117,7 @@
     probes: HashMap<u32, Probe>,
     relays: HashMap<u32, Relay>,
     last_timer_at: Tick,
+    last_packet_at: Tick,
     next_probe_at: Tick,
     next_rejoin_at: Tick,
     has_urgent_update: bool,
@@ -145,6 +146,7 @@
             probes: HashMap::new(),
             relays: HashMap::new(),
             last_timer_at: now,
+            last_packet_at: now,
             next_probe_at: now,
             next_rejoin_at: now,
             has_urgent_update: false,
@@ -219,6 +221,12 @@
         self.len() == 1
     }
 
+    /// Whether the node has live members and has received nothing from any of them for
+    /// `ISOLATION_TIMEOUT`, as in a partition or after a pause.
+    pub fn is_isolated(&self, now: Tick) -> bool {
+        !self.is_empty() && now.since(self.last_packet_at) >= ISOLATION_TIMEOUT
+    }
+
     /// Returns the number of records dropped because `MAX_MEMBERS` records were stored already.
     pub fn dropped_records(&self) -> u64 {
         self.dropped_records
@@ -572,6 +580,7 @@
         if packet.from == self.local.node {
             return;
         }
+        self.last_packet_at = now;
         if packet.settings != self.settings_digest {
             // Both the ping and its acknowledgement carry the digest and would start an exchange; a
             // random choice starts one of the two on average.
--- a/pistachiolane/src/membership/timing.rs
+++ b/pistachiolane/src/membership/timing.rs
@@ -35,6 +35,9 @@
 /// probes are then discarded as meaningless.
 pub const PAUSE_THRESHOLD: Duration = Duration::from_millis(300);
 
+/// Time without any packet after which a node with live members counts as cut off from them.
+pub const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Minimum time between two full exchanges of a node.
 pub const EXCHANGE_PERIOD: Duration = Duration::from_secs(5);
 
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -75,6 +75,9 @@
     members: Members,
     active_subtrees: ActiveSubtrees,
     is_table_outdated: bool,
+    /// Number of alive members of the region that precede the node in the order of store watchers.
+    watch_rank: u64,
+    is_isolated: bool,
     is_comparing_settings: Arc<AtomicBool>,
 }
 
@@ -158,6 +161,8 @@
             members,
             active_subtrees: ActiveSubtrees::default(),
             is_table_outdated: true,
+            watch_rank: 0,
+            is_isolated: false,
             is_comparing_settings: Arc::default(),
         };
         (control, handle)
@@ -175,6 +180,7 @@
                 _tick = timer.tick() => {
                     self.step(MembershipEvent::Timer);
                     self.rebuild_routing_table();
+                    self.update_watch_rank();
                     let joined = self.members.has_joined(self.shared.now());
                     self.shared.has_joined.store(joined, Ordering::Relaxed);
                 }
@@ -279,6 +285,17 @@
         let (members, regions) = (live_nodes.len() as u64, regions.len() as u64);
         self.shared.store.set_budget_share(members, regions, is_watcher);
         self.shared.update_retry_reserves();
+        self.watch_rank = rank;
+    }
+
+    /// Publishes the rank by which the node watches the store. A node that is cut off from its peers
+    /// watches the store itself.
+    fn update_watch_rank(&mut self) {
+        let is_isolated = self.members.is_isolated(self.shared.now());
+        if is_isolated != std::mem::replace(&mut self.is_isolated, is_isolated) {
+            log::info!(target: "membership", is_isolated; "connection to the other members changed");
+        }
+        let rank = if is_isolated { 0 } else { self.watch_rank };
         self.shared.watch_rank.store(rank, Ordering::Relaxed);
     }
 
