--- a/lab/src/membership/simulated_network.rs
+++ b/lab/src/membership/simulated_network.rs
@@ -138,11 +138,25 @@
                         self.schedule_event(address, MembershipEvent::Records(records));
                     }
                 }
+                MembershipAction::SettingsDiffer(from) => self.exchange_settings(address, from),
                 _ => {}
             }
         }
     }
 
+    /// Puts the settings with the higher digest in force at both nodes, as the exchange of two nodes
+    /// does with the newer ones.
+    fn exchange_settings(&mut self, address: SocketAddr, from: SocketAddr) {
+        let digest =
+            |net: &Self, a: &SocketAddr| net.nodes.get(a).map_or(0, Members::settings_digest);
+        let newer = digest(self, &address).max(digest(self, &from));
+        for a in [address, from] {
+            if let Some(members) = self.nodes.get_mut(&a) {
+                members.set_settings_digest(newer);
+            }
+        }
+    }
+
     /// Schedules an event at a node after a random delay of some milliseconds.
     pub fn schedule_event(&mut self, to: SocketAddr, event: MembershipEvent) {
         let delay = Duration::from_millis(self.rng.random_range(1..40));
--- a/lab/tests/membership.rs
+++ b/lab/tests/membership.rs
@@ -88,6 +88,21 @@
     assert_eq!(net.alive_view_count(6), 0);
 }
 
+/// Pattern: few nodes watch the store, and a change of the settings must reach all others in time.
+#[test_case(24; "24 nodes")]
+#[test_case(300; "300 nodes")]
+fn settings_of_a_few_watchers_reach_every_node(size: u16) {
+    let mut net = SimulatedNetwork::new(size, 0.01, SEED);
+    net.run(Duration::from_secs(20));
+    for index in 0..4 {
+        let members = net.nodes.get_mut(&control_address(index)).unwrap();
+        members.set_settings_digest(7);
+    }
+    net.run(Duration::from_millis(1_500));
+    let missing = net.nodes.values().filter(|m| m.settings_digest() != 7).count();
+    assert_eq!(missing, 0, "of {size} nodes without the settings");
+}
+
 #[test]
 fn steady_state_traffic_is_bounded() {
     let mut net = SimulatedNetwork::new(150, 0.0, SEED);
--- a/pistachiolane/src/config/mod.rs
+++ b/pistachiolane/src/config/mod.rs
@@ -5,6 +5,7 @@
 mod change;
 mod checks;
 mod edit;
+mod restoration;
 mod route_table;
 mod token;
 mod tree;
@@ -15,6 +16,7 @@
     change::{Change, ChangeAction, ChangeEvent, ChangeOutcome, ReadResult, WriteResult},
     checks::check_document,
     edit::{get_path, set_path},
+    restoration::lost_subtrees,
     route_table::{Route, RouteTable},
     token::{new_token_digest, verify_token},
     tree::{RequestPolicy, SettingsTree},
--- /dev/null
+++ b/pistachiolane/src/config/restoration.rs
@@ -0,0 +1,19 @@
+//! Subtrees to write again after the store came back from an older copy.
+
+use {
+    super::ROUTES,
+    crate::schema::Subtree,
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// Returns the subtrees in force that the store has lost: those of which it has no version or an older
+/// one.
+///
+/// The subtree of routes is left out, because the platform's operator writes it again.
+pub fn lost_subtrees(in_force: Vec<Subtree>, stored: &[Subtree]) -> Vec<Subtree> {
+    let versions: BTreeMap<&Arc<str>, u64> = stored.iter().map(|s| (&s.name, s.version)).collect();
+    let is_lost = |s: &Subtree| {
+        s.name.as_ref() != ROUTES && s.version > versions.get(&s.name).copied().unwrap_or(0)
+    };
+    in_force.into_iter().filter(is_lost).collect()
+}
--- a/pistachiolane/src/limits/platform_share.rs
+++ b/pistachiolane/src/limits/platform_share.rs
@@ -8,7 +8,7 @@
 pub const MILLICALLS_PER_CALL: u64 = 1_000;
 
 /// Nodes in each region that watch the platform.
-pub const WATCHERS_PER_REGION: u64 = 2;
+pub const WATCHERS_PER_REGION: u64 = 1;
 
 /// Returns a node's share in thousandths of a call per second.
 ///
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -160,11 +160,18 @@
         }
     }
 
-    /// Sets the digest of the settings in force, which is sent with each packet.
+    /// Sets the digest of the settings in force, which is sent with each packet. A new digest is sent
+    /// to a few members immediately, so that settings spread faster than the periodic pings.
     pub fn set_settings_digest(&mut self, digest: u64) {
+        self.has_urgent_update |= self.settings_digest != digest;
         self.settings_digest = digest;
     }
 
+    /// Returns the digest of the settings in force.
+    pub fn settings_digest(&self) -> u64 {
+        self.settings_digest
+    }
+
     /// Adds seed addresses, such as those listed by the platform.
     pub fn add_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
         for seed in seeds {
--- a/pistachiolane/src/node/operator.rs
+++ b/pistachiolane/src/node/operator.rs
@@ -5,15 +5,15 @@
         control_client,
         control_loop::ControlHandle,
         shared::Shared,
-        store_task::{SETTINGS_KIND, parse_subtree},
+        store_task::{SETTINGS_KIND, parse_subtree, stored_value},
     },
     crate::{
         config::{
             Change, ChangeAction, ChangeEvent, ChangeOutcome, ROOT, ReadResult, ValidationError,
-            check_document, set_path, verify_token,
+            WriteResult, check_document, set_path, verify_token,
         },
         metrics::Metrics,
-        schema::{Health, MemberRecord, RootDocument, StoredSubtree, Subtree, SubtreeVersion},
+        schema::{Health, MemberRecord, RootDocument, Subtree, SubtreeVersion},
         tick::Tick,
     },
     futures::{StreamExt, stream::FuturesUnordered},
@@ -86,8 +86,8 @@
 
 /// Makes a change, and waits until every region has acknowledged it or the time limit has passed.
 pub async fn change(shared: &Shared, control: &ControlHandle, req: ChangeRequest) -> ChangeReport {
-    let change_report = match prepare_change(shared, &req).await {
-        Ok((subtree, expected)) => run_change(shared, control, subtree, expected).await,
+    let change_report = match prepare_change(shared, control, &req).await {
+        Ok(prepared) => run_change(shared, control, prepared).await,
         Err(report) => report,
     };
     Metrics::count(&shared.metrics.changes, change_report.name());
@@ -109,15 +109,30 @@
     }
 }
 
+/// Change that has passed the checks.
+struct PreparedChange {
+    /// Subtree to write, with its new version.
+    subtree: Subtree,
+    /// Version that the change is based on.
+    base_version: u64,
+    /// Revision that the object in the store must still have; zero if it must not exist.
+    expected_revision: u64,
+}
+
 async fn prepare_change(
     shared: &Shared,
+    control: &ControlHandle,
     req: &ChangeRequest,
-) -> Result<(Subtree, u64), ChangeReport> {
+) -> Result<PreparedChange, ChangeReport> {
     let read = shared.store.get(SETTINGS_KIND, &req.subtree).await;
-    let stored_subtree =
-        read.map_err(|_e| ChangeReport::NotWritten)?.as_ref().and_then(parse_subtree);
-    let expected = stored_subtree.as_ref().map_or(0, |s| s.version);
-    let current = stored_subtree.as_ref().map_or(Value::Null, document);
+    let object = read.map_err(|_e| ChangeReport::NotWritten)?;
+    let expected_revision = object.as_ref().map_or(0, |o| o.revision);
+    let stored = object.as_ref().and_then(parse_subtree);
+    // A store that came back from an older copy may have lost the version in force.
+    let in_force = control.subtrees(vec![Arc::clone(&req.subtree)]).await;
+    let base = stored.into_iter().chain(in_force).max_by_key(|s| s.version);
+    let expected = base.as_ref().map_or(0, |s| s.version);
+    let current = base.as_ref().map_or(Value::Null, document);
     let wanted = set_path(&current, &req.path, req.value.clone())
         .map_err(|fault| ChangeReport::Refused { faults: vec![fault] })?;
     if req.if_version.is_some_and(|version| version != expected) {
@@ -133,7 +148,9 @@
         .map_err(|faults| ChangeReport::Refused { faults })?;
     let change = format!("{:032x}", rand::rng().random::<u128>());
     let name = Arc::clone(&req.subtree);
-    Ok((Subtree { name, version: 0, change, document: text }, expected))
+    let version = expected.max(expected_revision) + 1;
+    let subtree = Subtree { name, version, change, document: text };
+    Ok(PreparedChange { subtree, base_version: expected, expected_revision })
 }
 
 /// Reads the root subtree from the store rather than from the settings in force, so that a team
@@ -153,14 +170,14 @@
 async fn run_change(
     shared: &Shared,
     control: &ControlHandle,
-    subtree: Subtree,
-    expected: u64,
+    prepared: PreparedChange,
 ) -> ChangeReport {
+    let PreparedChange { subtree, base_version, expected_revision } = prepared;
     let members = control.members().await;
     let is_not_dead = |m: &&MemberRecord| m.health != Health::Dead;
     let regions: BTreeSet<Arc<str>> =
         members.iter().filter(is_not_dead).map(|m| Arc::clone(&m.region)).collect();
-    let (mut change, first) = Change::new(subtree.clone(), expected, regions);
+    let (mut change, first) = Change::new(subtree.clone(), base_version, regions);
     let mut running = FuturesUnordered::new();
     let mut actions = VecDeque::from([first]);
     let mut wake_at = Tick(u64::MAX);
@@ -176,7 +193,13 @@
                     written = subtree.clone();
                     control.apply(vec![subtree], "operator").await;
                 }
-                other => running.push(execute(shared, control, &members, written.clone(), other)),
+                other => running.push(execute(
+                    shared,
+                    control,
+                    &members,
+                    (written.clone(), expected_revision),
+                    other,
+                )),
             }
         }
         let event = tokio::select! {
@@ -196,18 +219,19 @@
     shared: &Shared,
     control: &ControlHandle,
     members: &[MemberRecord],
-    subtree: Subtree,
+    (subtree, expected_revision): (Subtree, u64),
     action: ChangeAction,
 ) -> Option<ChangeEvent> {
     match action {
-        ChangeAction::Write { expected } => {
-            let stored = StoredSubtree {
-                change: subtree.change.clone(),
-                document: subtree.document.clone(),
-            };
-            let value = serde_json::to_value(stored).ok()?;
-            let put = shared.store.put(SETTINGS_KIND, &subtree.name, expected, &value).await;
-            Some(ChangeEvent::Written(put))
+        ChangeAction::Write { .. } => {
+            let value = stored_value(&subtree);
+            let put =
+                shared.store.put(SETTINGS_KIND, &subtree.name, expected_revision, &value).await;
+            Some(ChangeEvent::Written(match put {
+                // The version is in the object; its revision may fall with an older copy of the store.
+                WriteResult::Written(_) => WriteResult::Written(subtree.version),
+                other => other,
+            }))
         }
         ChangeAction::ReadBack => {
             Some(ChangeEvent::ReadBack(read_back(shared, &subtree.name).await))
--- a/pistachiolane/src/node/store_task.rs
+++ b/pistachiolane/src/node/store_task.rs
@@ -4,11 +4,11 @@
 use {
     super::{control_loop::ControlHandle, integration::SettingsWatch, shared::Shared},
     crate::{
-        config::WriteResult,
+        config::{WriteResult, lost_subtrees},
         limits::WATCHERS_PER_REGION,
         metrics::Metrics,
         schema::{Health, MemberRecord, StoredSubtree, Subtree},
-        store::{Freshness, Listing, Object, StoreError},
+        store::{Freshness, Listing, Object, Position, StoreError},
         tick::Tick,
     },
     rand::RngExt,
@@ -19,7 +19,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// Kind of the objects that contain pistachiolane's native settings.
@@ -32,17 +32,38 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Upper limit of the delay after failed calls: state that expired in an outage must be restored
-/// within two seconds of its end. In the watch of settings, a ready node uses it only if it is
-/// among the first nodes of its region and the settings are urgent.
+/// within two seconds of its end.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
 
-/// Upper limit of the delay in the watch of settings for all other ready nodes, which receive
-/// changes from the first nodes once the store is back.
-const MAX_FOLLOWER_BACKOFF: Duration = Duration::from_secs(6);
+/// Upper limit of the delay in a ready node's watch of settings that are not urgent or that the first
+/// node of its region retries sooner.
+const MAX_RELAXED_BACKOFF: Duration = Duration::from_secs(6);
 
-/// Number of nodes in a region that retry with [`MAX_BACKOFF`] after the store is lost, if the
-/// settings are urgent.
-const FAST_RECONNECT_NODES: u64 = 3;
+/// Time after joining for which a node that does not watch the store waits for the settings of its
+/// peers before it reads the store.
+const PEER_SETTINGS_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Interval between two checks of whether the node has joined or has received settings.
+const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Number of listings without an answer of a registered node after which a node registers itself.
+const LISTINGS_BEFORE_REGISTRATION: u32 = 2;
+
+/// Maximum wait for an answer of a registered node after a listing.
+const JOIN_WAIT: Duration = Duration::from_millis(900);
+
+/// Maximum wait after a listing without any registration, as at the first start of a fleet. The nodes
+/// that wait least register themselves, and the others find them.
+const FIRST_START_WAIT: Duration = Duration::from_secs(4);
+
+/// Range of factors that spreads the waits of nodes that start at the same time.
+const JOIN_JITTER_FACTORS: std::ops::Range<f64> = 0.1..1.0;
+
+/// Number of nodes in a region that check the registrations.
+const REGISTRARS_PER_REGION: u64 = 2;
+
+/// Number of alive members of a region that are registered, so that a node that starts finds one.
+const MIN_REGISTERED_PER_REGION: usize = 4;
 
 /// Interval between two checks of whether the node has become a watcher, or of whether the
 /// registration of a dead member can be removed.
@@ -115,19 +136,21 @@
     }
 }
 
-/// Reads settings from the store once at the start, and watches them while the node is among the
-/// first watchers of its region.
+/// Watches settings in the store while the node is among the first watchers of its region. Any other
+/// node takes them from its peers, and reads the store only if it has none.
 pub async fn watch_settings(shared: Arc<Shared>, control: ControlHandle, watch: SettingsWatch) {
     let mut backoff = Backoff::new();
     let mut dependency = Dependency::default();
-    let mut revision = None;
+    let mut position: Option<Position> = None;
+    wait_for_peer_settings(&shared, &watch).await;
     loop {
-        let is_watcher = shared.watch_rank.load(Ordering::Relaxed) < watch.watchers_per_region;
-        if revision.is_some() && !is_watcher {
+        let is_watcher = is_watcher(&shared, &watch);
+        let has_settings = position.is_some() || shared.is_ready();
+        if has_settings && !is_watcher {
             sleep(IDLE_CHECK_INTERVAL).await;
             continue;
         }
-        let listing = match revision {
+        let listing = match position {
             None => shared.store.list(&watch.kind, Freshness::Current).await,
             Some(since) => shared.store.watch(&watch.kind, since).await,
         };
@@ -136,35 +159,53 @@
             Ok(listing) => {
                 backoff.reset();
                 dependency.record_success(&watch.kind);
-                revision = Some(listing.revision);
-                apply_listing(&shared, &control, &watch, &listing).await;
+                let subtrees = decode_listing(&watch, &listing);
+                if &*watch.kind == SETTINGS_KIND && position.is_none() {
+                    restore_lost_subtrees(&shared, &control, &listing, &subtrees).await;
+                }
+                position = Some(listing.position);
+                if !subtrees.is_empty() {
+                    control.apply(subtrees, "store").await;
+                }
+                shared.has_settings.store(true, Ordering::Relaxed);
             }
             Err(StoreError::RevisionTooOld) => {
                 log::info!(
                     target: "store", kind = &*watch.kind;
                     "watch history expired; listing again"
                 );
-                revision = None;
+                position = None;
             }
             Err(e) => {
                 dependency.record_failure(&watch.kind, &e);
-                let reconnects_fast =
-                    shared.watch_rank.load(Ordering::Relaxed) < FAST_RECONNECT_NODES;
-                let is_follower = shared.is_ready() && !(reconnects_fast && watch.is_urgent);
+                let is_first = shared.watch_rank.load(Ordering::Relaxed) == 0;
+                let is_relaxed = shared.is_ready() && !(watch.is_urgent && is_first);
                 backoff
-                    .pause_up_to(if is_follower { MAX_FOLLOWER_BACKOFF } else { MAX_BACKOFF })
+                    .pause_up_to(if is_relaxed { MAX_RELAXED_BACKOFF } else { MAX_BACKOFF })
                     .await;
             }
         }
     }
 }
 
-async fn apply_listing(
-    shared: &Shared,
-    control: &ControlHandle,
-    watch: &SettingsWatch,
-    listing: &Listing,
-) {
+fn is_watcher(shared: &Shared, watch: &SettingsWatch) -> bool {
+    shared.watch_rank.load(Ordering::Relaxed) < watch.watchers_per_region
+}
+
+/// Waits until the node has joined and, unless it then watches the store, has settings of its peers or
+/// [`PEER_SETTINGS_TIMEOUT`] has passed.
+async fn wait_for_peer_settings(shared: &Shared, watch: &SettingsWatch) {
+    while !shared.has_joined.load(Ordering::Relaxed) {
+        sleep(STARTUP_CHECK_INTERVAL).await;
+    }
+    let deadline = shared.now() + PEER_SETTINGS_TIMEOUT;
+    while !is_watcher(shared, watch) && !shared.is_ready() && shared.now() < deadline {
+        sleep(STARTUP_CHECK_INTERVAL).await;
+    }
+}
+
+/// Returns the subtrees in the objects of a listing; an object that is not one is logged and skipped.
+fn decode_listing(watch: &SettingsWatch, listing: &Listing) -> Vec<Subtree> {
     let mut subtrees = Vec::new();
     for object in &listing.items {
         match (watch.decode)(object) {
@@ -176,42 +217,135 @@
             ),
         }
     }
-    if !subtrees.is_empty() {
-        control.apply(subtrees, "store").await;
+    subtrees
+}
+
+/// Writes the subtrees in force that the store has lost, as it does when it comes back from an older
+/// copy. If another node writes one first, the watch returns it.
+async fn restore_lost_subtrees(
+    shared: &Shared,
+    control: &ControlHandle,
+    listing: &Listing,
+    stored: &[Subtree],
+) {
+    let in_force = control.snapshot().await.map(|s| s.subtrees).unwrap_or_default();
+    for subtree in lost_subtrees(in_force, stored) {
+        let object = listing.items.iter().find(|o| o.name == subtree.name);
+        let expected = object.map_or(0, |o| o.revision);
+        let value = stored_value(&subtree);
+        let written = shared.store.put(SETTINGS_KIND, &subtree.name, expected, &value).await;
+        Metrics::count(&shared.metrics.store_calls, write_outcome_label(&written));
+        log::warn!(
+            target: "store", subtree = &*subtree.name, version = subtree.version,
+            era = listing.position.era, result = write_outcome_label(&written);
+            "subtree in force was missing in the store, written again"
+        );
     }
-    shared.has_settings.store(true, Ordering::Relaxed);
+}
+
+/// Returns the value of the object that holds a subtree.
+pub fn stored_value(subtree: &Subtree) -> serde_json::Value {
+    serde_json::json!(StoredSubtree {
+        change: subtree.change.clone(),
+        document: subtree.document.clone(),
+        version: subtree.version,
+    })
 }
 
 /// Returns the subtree in a settings object, or `None` if the value is not a subtree.
 pub fn parse_subtree(object: &Object) -> Option<Subtree> {
     let stored: StoredSubtree = serde_json::from_value(object.value.clone()).ok()?;
+    let version = if stored.version == 0 { object.revision } else { stored.version };
     Some(Subtree {
         name: Arc::clone(&object.name),
-        version: object.revision,
+        version,
         change: stored.change,
         document: stored.document,
     })
 }
 
-/// Registers the node in the store and joins the nodes that are registered there. Then, while the
-/// node is the first watcher of its region, removes the registrations of dead members.
+/// Joins the nodes that are registered in the store, and registers this one if that fails. Then, while
+/// the node is among the first of its region, keeps some members of the region registered, and removes
+/// the registrations of dead ones.
 pub async fn maintain_member_registrations(shared: Arc<Shared>, control: ControlHandle) {
-    register(&shared).await;
     join(&shared, &control).await;
     let mut dead_addresses = HashMap::new();
+    let mut checked: Option<CheckedRegistrations> = None;
     loop {
         sleep(IDLE_CHECK_INTERVAL).await;
-        if shared.watch_rank.load(Ordering::Relaxed) == 0 {
-            remove_dead_registrations(&shared, &control, &mut dead_addresses).await;
+        let rank = shared.watch_rank.load(Ordering::Relaxed);
+        if rank >= REGISTRARS_PER_REGION {
+            checked = None;
+            continue;
+        }
+        let members = control.members().await;
+        let is_sufficient = |c: &CheckedRegistrations| {
+            c.era == shared.store.era() && c.count_alive(&members, &shared) > 0
+        };
+        if !checked.as_ref().is_some_and(is_sufficient) {
+            checked = check_registrations(&shared, &control, &members).await;
+        }
+        if rank == 0 {
+            remove_dead_registrations(&shared, &members, &mut dead_addresses).await;
         }
     }
 }
 
-/// Writes the node's registration. The write must precede the read of the other registrations, so
-/// that of two nodes that start at the same time at least one finds the other.
-async fn register(shared: &Shared) {
+/// Registrations as a node last read or wrote them.
+#[derive(Debug)]
+struct CheckedRegistrations {
+    era: u64,
+    addresses: Vec<SocketAddr>,
+}
+
+impl CheckedRegistrations {
+    /// Returns the number of alive members of the node's region that are registered.
+    fn count_alive(&self, members: &[MemberRecord], shared: &Shared) -> usize {
+        alive_in_region(members, shared).filter(|m| self.addresses.contains(&m.control)).count()
+    }
+}
+
+fn alive_in_region<'a>(
+    members: &'a [MemberRecord],
+    shared: &Shared,
+) -> impl Iterator<Item = &'a MemberRecord> {
+    let region = Arc::clone(&shared.settings.region);
+    members.iter().filter(move |m| m.region == region && m.health == Health::Alive)
+}
+
+/// Lists all registrations, joins the nodes that stale listings did not show, and registers members of
+/// the region while too few alive ones are registered, as after the store came back from an older copy.
+async fn check_registrations(
+    shared: &Shared,
+    control: &ControlHandle,
+    members: &[MemberRecord],
+) -> Option<CheckedRegistrations> {
+    let listing = shared.store.list(MEMBERS_KIND, Freshness::Current).await;
+    count_read(shared, &listing);
+    let listing = listing.ok()?;
+    let addresses: Vec<SocketAddr> = listing.items.iter().filter_map(parse_address).collect();
+    control.add_seeds(addresses.clone()).await;
+    let mut checked = CheckedRegistrations { era: listing.position.era, addresses };
+    let missing = MIN_REGISTERED_PER_REGION.saturating_sub(checked.count_alive(members, shared));
+    let unregistered: Vec<SocketAddr> = alive_in_region(members, shared)
+        .map(|m| m.control)
+        .filter(|address| !checked.addresses.contains(address))
+        .take(missing)
+        .collect();
+    for address in unregistered {
+        register(shared, address).await;
+        log::info!(
+            target: "membership", address = address.to_string().as_str(), era = checked.era;
+            "member registered, because too few of the region were"
+        );
+        checked.addresses.push(address);
+    }
+    Some(checked)
+}
+
+/// Writes the registration of an address.
+async fn register(shared: &Shared, address: SocketAddr) {
     let mut backoff = Backoff::new();
-    let address = shared.settings.control_advertise;
     let value = serde_json::json!(MemberRegistration { address });
     loop {
         let written = shared.store.put(MEMBERS_KIND, &registration_name(address), 0, &value).await;
@@ -223,36 +357,59 @@
     }
 }
 
+/// Joins the fleet through registered nodes.
+///
+/// A node that finds none in [`LISTINGS_BEFORE_REGISTRATION`] listings registers itself. It then reads
+/// the current registrations, so that of two nodes that register at the same time at least one finds
+/// the other.
 async fn join(shared: &Shared, control: &ControlHandle) {
     let mut backoff = Backoff::new();
     let mut dependency = Dependency::default();
-    loop {
-        let listing = shared.store.list(MEMBERS_KIND, Freshness::Current).await;
+    let mut freshness = Freshness::MayBeStale;
+    for listings in 1.. {
+        let listing = shared.store.list(MEMBERS_KIND, freshness).await;
         count_read(shared, &listing);
+        freshness = Freshness::MayBeStale;
+        let mut max_wait = JOIN_WAIT;
         match listing {
             Ok(listing) => {
                 dependency.record_success(MEMBERS_KIND);
-                control.add_seeds(listing.items.iter().filter_map(parse_address).collect()).await;
-                if listing.items.len() > 1 {
-                    return;
+                if listing.items.is_empty() {
+                    max_wait = FIRST_START_WAIT;
                 }
+                control.add_seeds(listing.items.iter().filter_map(parse_address).collect()).await;
             }
             Err(e) => dependency.record_failure(MEMBERS_KIND, &e),
         }
-        // Other nodes may be starting and may register a moment later.
-        backoff.pause().await;
-        if control.members().await.len() > 1 {
+        let wait = max_wait.mul_f64(rand::rng().random_range(JOIN_JITTER_FACTORS));
+        if has_members_within(control, wait).await {
             return;
         }
+        match listings {
+            ..LISTINGS_BEFORE_REGISTRATION => {}
+            LISTINGS_BEFORE_REGISTRATION => {
+                register(shared, shared.settings.control_advertise).await;
+                freshness = Freshness::Current;
+            }
+            _ => backoff.pause_up_to(MAX_RELAXED_BACKOFF).await,
+        }
     }
 }
 
+async fn has_members_within(control: &ControlHandle, wait: Duration) -> bool {
+    let has_members = async {
+        while control.members().await.len() <= 1 {
+            sleep(STARTUP_CHECK_INTERVAL).await;
+        }
+    };
+    timeout(wait, has_members).await.is_ok()
+}
+
 async fn remove_dead_registrations(
     shared: &Shared,
-    control: &ControlHandle,
+    members: &[MemberRecord],
     dead_addresses: &mut HashMap<SocketAddr, Tick>,
 ) {
-    let members = control.members().await;
     let is_in_use =
         |a: SocketAddr| members.iter().any(|m| m.control == a && m.health != Health::Dead);
     let is_dead_in_region =
--- a/pistachiolane/src/store/adapter.rs
+++ b/pistachiolane/src/store/adapter.rs
@@ -1,7 +1,7 @@
 //! The store calls that an adapter implements.
 
 use {
-    super::{Listing, Object, StoreError},
+    super::{Listing, Object, Position, StoreError},
     crate::config::WriteResult,
     futures::future::BoxFuture,
     serde_json::Value,
@@ -39,8 +39,8 @@
     pub struct WatchRequest {
         /// Kind of the objects.
         pub kind: Arc<str>,
-        /// Revision after which changes are returned.
-        pub since: u64,
+        /// Position after which changes are returned.
+        pub since: Position,
         /// Maximum wait.
         pub wait: Duration,
     }
--- a/pistachiolane/src/store/budgeted_store.rs
+++ b/pistachiolane/src/store/budgeted_store.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Freshness, ListRequest, Listing, Object, ReadRequest, StoreAdapter, StoreError,
+        Freshness, ListRequest, Listing, Object, Position, ReadRequest, StoreAdapter, StoreError,
         WatchRequest, WriteRequest,
     },
     crate::{
@@ -11,7 +11,13 @@
         tick::{Tick, micros},
     },
     serde_json::Value,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -26,6 +32,7 @@
 pub struct Store {
     adapter: Arc<StoreAdapter>,
     budget: Arc<TokenBucket>,
+    era: Arc<AtomicU64>,
     started: Instant,
 }
 
@@ -36,7 +43,7 @@
             platform_share_millicalls(1, 1, true),
             BURST_CALLS * MILLICALLS_PER_CALL,
         ));
-        Self { adapter: Arc::new(adapter), budget, started: Instant::now() }
+        Self { adapter: Arc::new(adapter), budget, era: Arc::default(), started: Instant::now() }
     }
 
     /// Sets this node's share of the budget from the size of the fleet in its membership view.
@@ -47,6 +54,11 @@
         );
     }
 
+    /// Returns the latest era of the store that a listing or a watch has shown.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
+    }
+
     /// Reads an object; returns `None` if it does not exist.
     ///
     /// # Errors
@@ -79,17 +91,19 @@
     /// Fails if the node's call budget is used up or the call to the store fails.
     pub async fn list(&self, kind: &str, freshness: Freshness) -> Result<Listing, StoreError> {
         self.take_budget()?;
-        (self.adapter.list)(ListRequest { kind: Arc::from(kind), freshness }).await
+        let listing = (self.adapter.list)(ListRequest { kind: Arc::from(kind), freshness }).await?;
+        self.era.fetch_max(listing.position.era, Ordering::Relaxed);
+        Ok(listing)
     }
 
-    /// Waits for changes of a kind after a revision; returns an empty listing on timeout.
+    /// Waits for changes of a kind after a position; returns an empty listing on timeout.
     ///
     /// # Errors
     /// Fails if the node's call budget is used up or the call to the store fails.
-    pub async fn watch(&self, kind: &str, since: u64) -> Result<Listing, StoreError> {
+    pub async fn watch(&self, kind: &str, since: Position) -> Result<Listing, StoreError> {
         self.take_budget()?;
-        (self.adapter.watch)(WatchRequest { kind: Arc::from(kind), since, wait: MAX_WATCH_WAIT })
-            .await
+        let req = WatchRequest { kind: Arc::from(kind), since, wait: MAX_WATCH_WAIT };
+        (self.adapter.watch)(req).await
     }
 
     async fn write(
--- a/pistachiolane/src/store/error.rs
+++ b/pistachiolane/src/store/error.rs
@@ -15,7 +15,8 @@
     /// The store returned a status which means that the call had no effect.
     #[error("store refused the call with status {0}")]
     Refused(u16),
-    /// The store no longer has the changes after the revision of the watch; list again.
+    /// The store does not have the changes after the position of the watch, or its era changed during
+    /// a listing; list again.
     #[error("store no longer has the changes after the watched revision")]
     RevisionTooOld,
     /// The response does not conform to the store's interface.
--- a/pistachiolane/src/store/mod.rs
+++ b/pistachiolane/src/store/mod.rs
@@ -12,5 +12,5 @@
     adapter::{Freshness, ListRequest, ReadRequest, StoreAdapter, WatchRequest, WriteRequest},
     budgeted_store::Store,
     error::StoreError,
-    objects::{Listing, Object},
+    objects::{Listing, Object, Position},
 };
--- a/pistachiolane/src/store/objects.rs
+++ b/pistachiolane/src/store/objects.rs
@@ -13,10 +13,20 @@
         pub value: Value,
     }
 
-    /// All objects of a kind, or only those changed since a revision.
-    pub struct Listing {
-        /// Revision up to which the listing is complete.
+    /// Point in the history of the store.
+    #[derive(Copy)]
+    pub struct Position {
+        /// Era of the history: it rises each time the store comes back from an older copy, which then
+        /// assigns revisions of its previous era again.
+        pub era: u64,
+        /// Revision within the era.
         pub revision: u64,
+    }
+
+    /// All objects of a kind, or only those changed since a position.
+    pub struct Listing {
+        /// Position up to which the listing is complete.
+        pub position: Position,
         /// Objects.
         pub items: Vec<Object>,
     }
