--- a/lab/src/stand_in/configuration.rs
+++ b/lab/src/stand_in/configuration.rs
@@ -1,6 +1,9 @@
 //! Configuration objects in the format that the platform's operator writes.
 
-use serde_json::{Value, json};
+use {
+    super::platform_upstream::HEALTH_PATH,
+    serde_json::{Value, json},
+};
 
 /// Columns of the route table, in the order of the values in a row.
 const ROUTE_COLUMNS: [&str; 10] = [
@@ -54,11 +57,12 @@
         ])
     };
     let rows: Vec<Value> = routes.iter().map(row).collect();
-    let services: Vec<Value> = services.iter().map(|name| json!([name, MAX_CONNECTIONS])).collect();
+    let services: Vec<Value> =
+        services.iter().map(|name| json!([name, MAX_CONNECTIONS, HEALTH_PATH])).collect();
     json!({
         "version": version,
         "routes": { "columns": ROUTE_COLUMNS, "rows": rows },
-        "services": { "columns": ["name", "max_connections"], "rows": services },
+        "services": { "columns": ["name", "max_connections", "health_path"], "rows": services },
         "limits": { "max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_s": 3,
             "idle_timeout_s": 15 },
     })
--- a/lab/src/stand_in/mod.rs
+++ b/lab/src/stand_in/mod.rs
@@ -13,6 +13,6 @@
     configuration::{RouteRow, configuration},
     host_outage::{HostOutage, OutageKind},
     platform::{CallCounts, PlatformFaults, PlatformStandIn, StoreContents},
-    platform_upstream::{PLATFORM_REQUEST_ID, PlatformUpstream, ReceivedRequest},
+    platform_upstream::{HEALTH_PATH, PLATFORM_REQUEST_ID, PlatformUpstream, ReceivedRequest},
     upstream::{LOAD_REQUEST_ID, UpstreamBehaviour, UpstreamStandIn},
 };
--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -32,6 +32,9 @@
 /// Size of one write of bytes without end.
 const ENDLESS_WRITE_BYTES: usize = 4 << 10;
 
+/// Path of the health check, which is answered at once and doesn't count as executed.
+pub const HEALTH_PATH: &str = "/health";
+
 /// Maximum number of headers in a request.
 const MAX_HEADERS: usize = 32;
 
@@ -62,6 +65,10 @@
     pub executed: Mutex<Vec<ReceivedRequest>>,
     /// Number of requests whose connection closed before the response was sent.
     pub cancelled: AtomicU64,
+    /// Number of health checks.
+    pub health_checks: AtomicU64,
+    /// Header lines that are added to each response, without the final line break; empty if there are none.
+    pub stated: Mutex<String>,
     /// Number of accepted connections.
     pub connections: AtomicU64,
     /// Number of requests that were rejected because slots and queue were full.
@@ -116,6 +123,8 @@
             instance: instance.to_owned(),
             executed: Mutex::default(),
             cancelled: AtomicU64::new(0),
+            health_checks: AtomicU64::new(0),
+            stated: Mutex::default(),
             connections: AtomicU64::new(0),
             rejected_when_full: AtomicU64::new(0),
             peak_concurrency: AtomicUsize::new(0),
@@ -163,6 +172,11 @@
         self.executed.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
+    /// Sets the header lines that are added to each response from now on, such as `server-limit: 5`.
+    pub fn state(&self, header_lines: &str) {
+        header_lines.clone_into(&mut self.stated.lock().unwrap_or_else(PoisonError::into_inner));
+    }
+
     async fn serve_connection(&self, mut socket: TcpStream) -> std::io::Result<()> {
         let open_before = self.open_connections.fetch_add(1, Ordering::SeqCst);
         let _open = DecrementOnDrop(&self.open_connections);
@@ -177,6 +191,16 @@
                 socket.write_all(&response("421 Misdirected Request", &head, "")).await?;
                 continue;
             }
+            if req.line == format!("GET {HEALTH_PATH}") {
+                self.health_checks.fetch_add(1, Ordering::SeqCst);
+                let head = self.with_statements(format!(
+                    "x-pistachiolane-instance-id: {}\r\nx-pistachiolane-server-load: {}",
+                    self.instance,
+                    self.load_header()
+                ));
+                socket.write_all(&response("200 OK", &head, "")).await?;
+                continue;
+            }
             let action = req.line.rsplit('/').next().unwrap_or("").to_owned();
             if action == "shed" {
                 send_not_executed(&mut socket).await?;
@@ -198,11 +222,11 @@
                     return Ok(());
                 }
             }
-            let signed = format!(
+            let signed = self.with_statements(format!(
                 "{PLATFORM_REQUEST_ID}: {id}\r\nx-pistachiolane-response-signature: {id}.s\r\n\
                  x-pistachiolane-server-load: {}",
                 self.load_header()
-            );
+            ));
             let valid = response("200 OK", &signed, &format!("answer to {id}"));
             match action.as_str() {
                 "foreign" => {
@@ -311,6 +335,11 @@
         self.capacity.slots - self.slots.available_permits()
     }
 
+    fn with_statements(&self, head: String) -> String {
+        let stated = self.stated.lock().unwrap_or_else(PoisonError::into_inner);
+        if stated.is_empty() { head } else { format!("{head}\r\n{stated}") }
+    }
+
     /// Returns the value of the load header: running, waiting, slots, and the host's slowness in percent.
     fn load_header(&self) -> String {
         let running = self.running();
