A gate keeps the rate of requests that its upstream states

Cause: nothing read the header.

Fix: the gate is the only sender of an upstream's requests, so a token bucket there bounds what all nodes send together, whatever entries believe. It admits, queues and refuses by the bucket's wait, and reports the slots that the rate keeps busy. Found on the way: an attempt that was expected to start exactly at its latest moment started 5 ms later, then waited behind all others until its deadline (504); the expected wait now includes the queue's check interval.

--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -192,13 +192,7 @@
                 continue;
             }
             if req.line == format!("GET {HEALTH_PATH}") {
-                self.health_checks.fetch_add(1, Ordering::SeqCst);
-                let head = self.with_statements(format!(
-                    "x-pistachiolane-instance-id: {}\r\nx-pistachiolane-server-load: {}",
-                    self.instance,
-                    self.load_header()
-                ));
-                socket.write_all(&response("200 OK", &head, "")).await?;
+                self.answer_health_check(&mut socket).await?;
                 continue;
             }
             let action = req.line.rsplit('/').next().unwrap_or("").to_owned();
@@ -284,6 +278,16 @@
         Ok(())
     }
 
+    async fn answer_health_check(&self, socket: &mut TcpStream) -> std::io::Result<()> {
+        self.health_checks.fetch_add(1, Ordering::SeqCst);
+        let head = self.with_statements(format!(
+            "x-pistachiolane-instance-id: {}\r\nx-pistachiolane-server-load: {}",
+            self.instance,
+            self.load_header()
+        ));
+        socket.write_all(&response("200 OK", &head, "")).await
+    }
+
     /// Writes a start and then bytes until the peer closes the connection, which counts as cancelled.
     async fn write_without_end(&self, socket: &mut TcpStream, start: &str) -> std::io::Result<()> {
         let mut written = socket.write_all(start.as_bytes()).await;
--- a/pistachiolane/src/attempt/admission.rs
+++ b/pistachiolane/src/attempt/admission.rs
@@ -123,6 +123,7 @@
         };
         let expected_service_time = self.times.expected(attempt.class);
         let request = AdmissionRequest {
+            arrived: now,
             remaining: Duration::from_micros(attempt.budget_us),
             target: Duration::from_micros(attempt.target_us),
             expected_service_time,
--- a/pistachiolane/src/limits/admission_request.rs
+++ b/pistachiolane/src/limits/admission_request.rs
@@ -10,6 +10,8 @@
     /// Time budgets and queueing permission of an attempt that requests admission.
     #[derive(Copy)]
     pub struct AdmissionRequest {
+        /// Time of arrival.
+        pub arrived: Tick,
         /// Remaining time budget of the call.
         pub remaining: Duration,
         /// Remaining time until the target latency is exceeded; a response after it is late.
@@ -24,9 +26,11 @@
 }
 
 impl AdmissionRequest {
-    /// Creates a request without a target latency and without an expected service time.
+    /// Creates a request without a target latency and without an expected service time, which arrives at the
+    /// start of the time scale.
     pub fn new(remaining: Duration, may_queue: bool) -> Self {
         Self {
+            arrived: Tick(0),
             remaining,
             target: remaining,
             expected_service_time: Duration::ZERO,
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -1,7 +1,7 @@
 //! Admission control of one gate: decides which attempts run, wait or are refused.
 
 use {
-    super::{AdaptiveLimit, AdmissionRequest, Slots, Slowness},
+    super::{AdaptiveLimit, AdmissionRequest, Slots, Slowness, StatedRate},
     crate::{
         schema::{GateState, LoadReport},
         tick::Tick,
@@ -25,6 +25,11 @@
 /// Share of the slots, in percent, up to which attempts that will miss their target latency are admitted.
 const LATE_SLOTS_PERCENT: u32 = 70;
 
+/// Longest time from the moment at which the stated rate allows a start until the queue starts an attempt: two
+/// intervals of its checks. Without it, attempts would be admitted that miss their target latency by moments and
+/// then wait behind all that can meet theirs.
+const RATE_START_DELAY: Duration = Duration::from_millis(10);
+
 value! {
     /// Decision on an attempt that requests admission.
     pub enum AdmissionDecision {
@@ -97,6 +102,8 @@
     upstream_present: AtomicBool,
     /// Current slowness, as the upstream itself reports it.
     pub slowness: Slowness,
+    /// Rate of requests that the upstream states to accept.
+    pub stated_rate: StatedRate,
 }
 
 impl Default for Gate {
@@ -111,6 +118,7 @@
             warming_until: AtomicU64::new(0),
             upstream_present: AtomicBool::new(false),
             slowness: Slowness::default(),
+            stated_rate: StatedRate::default(),
         }
     }
 }
@@ -182,7 +190,7 @@
             !is_late || self.slots.running() < self.limit.get() * LATE_SLOTS_PERCENT / 100;
         // An attempt that will be late anyway isn't deferred.
         let is_deferred = req.is_deferred && !is_late;
-        if queued == 0 && slot_allowed && !is_deferred && self.try_take_slot() {
+        if queued == 0 && slot_allowed && !is_deferred && self.try_start(req.arrived) {
             return AdmissionDecision::Run;
         }
         if !req.may_queue {
@@ -191,7 +199,7 @@
         let Some(max_on_time_wait) = req.max_on_time_wait() else {
             return AdmissionDecision::Refuse(RefusalReason::QueueFull);
         };
-        if self.expected_wait(queued + 1) > max_on_time_wait.min(max_wait) {
+        if self.expected_wait(req.arrived, queued + 1) > max_on_time_wait.min(max_wait) {
             return AdmissionDecision::Refuse(RefusalReason::QueueFull);
         }
         let bound = self.queue_bound() * QUEUE_OVERFLOW_FACTOR;
@@ -202,9 +210,16 @@
         }
     }
 
-    /// Takes a slot if one is free.
-    pub fn try_take_slot(&self) -> bool {
-        self.slots.try_take(self.limit.get())
+    /// Takes a slot for a request that starts now, if one is free and the stated rate allows a start.
+    pub fn try_start(&self, now: Tick) -> bool {
+        if !self.slots.try_take(self.limit.get()) {
+            return false;
+        }
+        let is_allowed = self.stated_rate.try_take(now);
+        if !is_allowed {
+            self.slots.release();
+        }
+        is_allowed
     }
 
     /// Releases a queue place that [`Gate::admit`] took.
@@ -242,7 +257,7 @@
     pub fn next_load_report(&self, now: Tick) -> LoadReport {
         LoadReport {
             sequence: self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
-            slots: self.limit.get() as u16,
+            slots: self.usable_slots() as u16,
             running: self.slots.running() as u16,
             queued: self.queued.load(Ordering::SeqCst) as u16,
             latency_us: u32::try_from(self.limit.latency_us()).unwrap_or(u32::MAX),
@@ -251,6 +266,13 @@
         }
     }
 
+    /// Returns the number of slots that can be in use at once, which a stated rate lowers.
+    fn usable_slots(&self) -> u32 {
+        let slots = self.limit.get();
+        let concurrency = self.stated_rate.concurrency(self.limit.latency_us());
+        concurrency.map_or(slots, |running| running.min(slots))
+    }
+
     fn state(&self, now: Tick) -> GateState {
         let upstream_present = self.upstream_present.load(Ordering::SeqCst);
         match now {
@@ -267,8 +289,10 @@
     }
 
     /// Returns the expected wait at a position in the queue; the first position is 1.
-    fn expected_wait(&self, position: u32) -> Duration {
+    fn expected_wait(&self, now: Tick, position: u32) -> Duration {
         let slots = u64::from(self.limit.get().max(1));
-        Duration::from_micros(self.limit.latency_us() * u64::from(position) / slots)
+        let for_slot = Duration::from_micros(self.limit.latency_us() * u64::from(position) / slots);
+        let for_rate = self.stated_rate.wait(now, position);
+        if for_rate.is_zero() { for_slot } else { for_slot.max(for_rate + RATE_START_DELAY) }
     }
 }
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -12,6 +12,7 @@
 mod service_times;
 mod slots;
 mod slowness;
+mod stated_rate;
 mod token_bucket;
 mod wait_queue;
 
@@ -30,6 +31,7 @@
     service_times::ServiceTimes,
     slots::Slots,
     slowness::Slowness,
+    stated_rate::StatedRate,
     token_bucket::TokenBucket,
     wait_queue::{Dequeued, QueueKey, StartDeadlines, WaitQueue},
 };
--- a/pistachiolane/src/limits/token_bucket.rs
+++ b/pistachiolane/src/limits/token_bucket.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::tick::Tick,
-    std::sync::atomic::{AtomicU64, Ordering},
+    std::{
+        sync::atomic::{AtomicU64, Ordering},
+        time::Duration,
+    },
 };
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
@@ -56,13 +59,27 @@
         update.is_ok()
     }
 
+    /// Returns the time until [`Self::try_take`] would succeed for this many tokens, as if they could exceed the
+    /// burst; zero if the rate is.
+    pub fn wait(&self, now: Tick, tokens: u64) -> Duration {
+        let rate = self.rate.load(Ordering::Relaxed);
+        if rate == 0 {
+            return Duration::ZERO;
+        }
+        let now_ns = now.0.saturating_mul(1_000);
+        let next_ns = self.next_arrival_ns.load(Ordering::Acquire).max(now_ns);
+        let end_ns = next_ns.saturating_add(cost_ns(tokens, rate));
+        let burst_ns = cost_ns(self.burst.load(Ordering::Relaxed), rate);
+        Duration::from_nanos(end_ns.saturating_sub(now_ns.saturating_add(burst_ns)))
+    }
+
     /// Returns the number of tokens granted since creation.
     pub fn granted(&self) -> u64 {
         self.granted.load(Ordering::Relaxed)
     }
 
     /// Returns the maximum number of tokens that rate and burst allow within `elapsed` after creation.
-    pub fn allowance(&self, elapsed: std::time::Duration) -> u64 {
+    pub fn allowance(&self, elapsed: Duration) -> u64 {
         let rate = self.rate.load(Ordering::Relaxed);
         let micros = crate::tick::micros(elapsed);
         self.burst.load(Ordering::Relaxed) + rate.saturating_mul(micros) / MICROS_PER_SECOND + 1
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -127,7 +127,7 @@
                 return Some(Dequeued::Expired(attempt.item));
             }
             let (key, index) = self.next_startable(now, gate)?;
-            if !gate.try_take_slot() {
+            if !gate.try_start(now) {
                 return None;
             }
             let attempt = self.remove(&key, index)?;
--- a/pistachiolane/src/membership/local_upstream.rs
+++ b/pistachiolane/src/membership/local_upstream.rs
@@ -107,7 +107,7 @@
             return UpstreamChange::Changed;
         };
         let old = &mut current.announcement;
-        let same_incarnation = old.instance == next.instance && old.started_ms == next.started_ms;
+        let same_incarnation = is_same_incarnation(old, &next);
         if !same_incarnation && next.started_ms < old.started_ms {
             return UpstreamChange::Outdated;
         }
@@ -148,6 +148,11 @@
     }
 }
 
+/// Whether two announcements are of the same run of an upstream.
+pub fn is_same_incarnation(a: &Announcement, b: &Announcement) -> bool {
+    a.instance == b.instance && a.started_ms == b.started_ms
+}
+
 /// Whether two announcements of one incarnation differ in more than the sequence, the remaining
 /// warm-up time and the number of connections.
 fn differs(old: &Announcement, next: &Announcement) -> bool {
--- a/pistachiolane/src/membership/mod.rs
+++ b/pistachiolane/src/membership/mod.rs
@@ -8,7 +8,7 @@
 mod updates;
 
 pub use {
-    local_upstream::{LocalUpstream, UpstreamChange, UpstreamEvent},
+    local_upstream::{LocalUpstream, UpstreamChange, UpstreamEvent, is_same_incarnation},
     members::{Members, MembershipAction, MembershipEvent},
     timing::PROBE_PERIOD,
 };
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -7,7 +7,7 @@
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    std::{fmt, time::Duration},
+    std::{fmt, sync::atomic::AtomicU64, time::Duration},
 };
 
 /// Label that distinguishes the cases of one counter.
@@ -42,6 +42,9 @@
 const LATENCY_BUCKETS_S: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0];
 
+/// Gauge of a rate per second.
+pub type RateGauge = Gauge<f64, AtomicU64>;
+
 /// Latency histograms by label set.
 pub type Latencies<L> = Family<L, Histogram, fn() -> Histogram>;
 
@@ -180,6 +183,8 @@
     changes: Cases,
     /// Live members in the node's membership view.
     members: Gauge,
+    /// Requests per second that the local upstream states to accept; 0 while it states no limit.
+    upstream_rate_limit: RateGauge,
     /// Invariant violations since the process started.
     invariant_violations: Gauge,
 }
--- a/pistachiolane/src/node/announcements.rs
+++ b/pistachiolane/src/node/announcements.rs
@@ -3,7 +3,7 @@
 use {
     super::{control_loop::ControlHandle, node_handle::UpstreamEventRequest, shared::Shared},
     crate::{
-        membership::{LocalUpstream, UpstreamChange},
+        membership::{LocalUpstream, UpstreamChange, is_same_incarnation},
         schema::{Announcement, Health, Placement},
     },
     std::{sync::Arc, time::Duration},
@@ -65,6 +65,11 @@
 
 fn apply(shared: &Shared, announcement: &Announcement) {
     let now = shared.now();
+    let known = shared.upstream.load_full();
+    if !known.is_some_and(|known| is_same_incarnation(&known, announcement)) {
+        // The previous incarnation has ended, and its limit with it.
+        shared.admission.gate.stated_rate.set(None);
+    }
     shared.admission.gate.set_usable_percent(shared.tunables.load().usable_slots);
     shared.upstream.store(Some(Arc::new(announcement.clone())));
     let max_connections =
--- a/pistachiolane/src/node/dialect.rs
+++ b/pistachiolane/src/node/dialect.rs
@@ -6,6 +6,9 @@
 /// usual one.
 pub type ParseSlowness = fn(&str) -> Option<u32>;
 
+/// Parses the rate that an upstream states to accept from a header value, in requests per second.
+pub type ParseRate = fn(&str) -> Option<f64>;
+
 /// Headers that callers and upstreams use. A header that is `None` is neither read nor set.
 #[derive(Clone, Debug)]
 pub struct HeaderDialect {
@@ -23,6 +26,11 @@
     pub signature: Option<HeaderName>,
     /// From the upstream: header with its slowness, and the function that parses it.
     pub slowness: Option<(HeaderName, ParseSlowness)>,
+    /// From the upstream: header with the rate of requests that it accepts, present on each response while that
+    /// limit holds, and the function that parses it.
+    pub rate_limit: Option<(HeaderName, ParseRate)>,
+    /// From the upstream: its instance id, on responses to health checks.
+    pub instance: Option<HeaderName>,
     /// Whether callers accept fractions of a second in `Retry-After`.
     pub fractional_retry_after: bool,
 }
@@ -38,6 +46,8 @@
             not_run: None,
             signature: None,
             slowness: None,
+            rate_limit: None,
+            instance: None,
             fractional_retry_after: false,
         }
     }
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -10,6 +10,7 @@
         shared::Shared,
         socket_options::configure,
         upstream_pool::{UpstreamConnection, UpstreamError, UpstreamPool},
+        upstream_statements::{StatementSource, apply_statements},
     },
     crate::{
         attempt::{AttemptDecision, Ticket},
@@ -372,7 +373,8 @@
             end, status,
             waited_ms = waited.as_millis() as u64, elapsed_ms = elapsed.as_millis() as u64,
             running = report.running, queued = report.queued,
-            slowness_percent = report.slowness_percent;
+            slowness_percent = report.slowness_percent,
+            rate_limit = self.shared.admission.gate.stated_rate.get().unwrap_or(0.0);
             "attempt ran"
         );
     }
@@ -420,6 +422,7 @@
             return ResponseKind::NotRun(RefusalReason::NotHere);
         }
         if dialect.not_run.as_ref().is_some_and(|name| headers.contains_key(name)) {
+            apply_statements(&self.shared, announced, headers, StatementSource::Other);
             return ResponseKind::NotRun(RefusalReason::Shed);
         }
         let is_present = |name: &header::HeaderName| headers.contains_key(name);
@@ -427,6 +430,7 @@
             return ResponseKind::Mismatched("response lacks the service's signature");
         }
         self.record_slowness(headers);
+        apply_statements(&self.shared, announced, headers, StatementSource::Response);
         ResponseKind::Response
     }
 
@@ -539,7 +543,8 @@
         log::info!(
             target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service,
             reason = reason.name(), running = report.running, queued = report.queued,
-            slots = report.slots, budget_us = attempt.budget_us;
+            slots = report.slots, budget_us = attempt.budget_us,
+            rate_limit = self.shared.admission.gate.stated_rate.get().unwrap_or(0.0);
             "attempt refused, not run"
         );
         responses::refused(reason, &report)
--- a/pistachiolane/src/node/load_probe.rs
+++ b/pistachiolane/src/node/load_probe.rs
@@ -1,7 +1,14 @@
 //! Requests to the local upstream for its current load, when no response has shown it recently.
 
 use {
-    super::{body::full, gate_server::GateServer, shared::Shared, upstream_pool::UpstreamPool},
+    super::{
+        body::full,
+        gate_server::GateServer,
+        shared::Shared,
+        upstream_pool::UpstreamPool,
+        upstream_statements::{StatementSource, apply_statements},
+    },
+    crate::schema::Announcement,
     hyper::{HeaderMap, Request, header},
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -33,7 +40,9 @@
         let slowness = &shared.admission.gate.slowness;
         // An upstream that has shown no slowness yet may never do so.
         let is_stale = slowness.age(shared.now()).is_some_and(|age| age > STALE_AFTER);
-        let is_useful = is_stale && slowness.may_defer(service_time);
+        // A stated limit counts probes as well; the few requests that it leaves show the load.
+        let is_limited = shared.admission.gate.stated_rate.get().is_some();
+        let is_useful = is_stale && !is_limited && slowness.may_defer(service_time);
         if is_useful {
             self.requested.notify_one();
         }
@@ -54,11 +63,13 @@
 pub async fn run_load_probes(shared: Arc<Shared>, gate: Arc<GateServer>) {
     loop {
         shared.load_probe.requested.notified().await;
-        if let Some((path, pool)) = probe_target(&shared, &gate) {
-            let shown = timeout(PROBE_TIMEOUT, probe(&path, &pool)).await.ok().flatten();
-            shared.metrics.upstream_probes.inc();
-            if let Some(headers) = shown {
+        if let Some(announced) = shared.upstream.load_full()
+            && let Some((path, pool)) = probe_target(&shared, &gate, &announced)
+        {
+            let probe = probe(&shared, &path, &pool, &announced);
+            if let Some(headers) = timeout(PROBE_TIMEOUT, probe).await.ok().flatten() {
                 gate.record_slowness(&headers);
+                apply_statements(&shared, &announced, &headers, StatementSource::Other);
             }
         }
         shared.load_probe.finished.notify_waiters();
@@ -67,17 +78,30 @@
     }
 }
 
-/// Returns the path on which the local upstream shows its load, and the connections to it.
-fn probe_target(shared: &Shared, gate: &GateServer) -> Option<(Arc<str>, Arc<UpstreamPool>)> {
-    let announced = shared.upstream.load_full()?;
+/// Returns the path on which an upstream shows its state, and the connections to it.
+pub(super) fn probe_target(
+    shared: &Shared,
+    gate: &GateServer,
+    announced: &Announcement,
+) -> Option<(Arc<str>, Arc<UpstreamPool>)> {
     let tree = shared.settings_tree.load();
     let path = tree.routes()?.load_path(&announced.service)?;
-    Some((Arc::clone(path), gate.current_pool(&announced)))
+    Some((Arc::clone(path), gate.current_pool(announced)))
 }
 
-async fn probe(path: &str, pool: &UpstreamPool) -> Option<HeaderMap> {
+/// Returns the headers that the upstream `announced` sends on its health path; `None` if there is no whole response
+/// or another instance listens on the address.
+pub(super) async fn probe(
+    shared: &Shared,
+    path: &str,
+    pool: &UpstreamPool,
+    announced: &Announcement,
+) -> Option<HeaderMap> {
+    shared.metrics.upstream_probes.inc();
     let req = Request::get(path).header(header::HOST, "upstream").body(full("")).ok()?;
     let (res, connection) = pool.send(req, true).await.ok()?;
     let (parts, body) = res.into_parts();
-    pool.recycle(connection, body).await.then_some(parts.headers)
+    let instance = shared.dialect.instance.as_ref().and_then(|name| parts.headers.get(name));
+    let is_other = instance.is_some_and(|instance| instance != announced.instance.as_str());
+    (pool.recycle(connection, body).await && !is_other).then_some(parts.headers)
 }
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -31,6 +31,7 @@
 mod status;
 mod store_task;
 mod upstream_pool;
+mod upstream_statements;
 
 pub use {
     accept::accept,
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -247,6 +247,7 @@
 fn admission_request(remaining_ms: u64, target_ms: u64, expected_ms: u64) -> AdmissionRequest {
     let ms = Duration::from_millis;
     AdmissionRequest {
+        arrived: Tick(0),
         remaining: ms(remaining_ms),
         target: ms(target_ms),
         expected_service_time: ms(expected_ms),
