A gate closes when its upstream states that it is leaving

An upstream that says in its responses that it leaves got new work until it announced the same to its node, and, after that node was restarted, again until the next announcement.

Cause: only announcements were read. Evidence: stated_leaving_ends_new_requests got 200 in place of 503 after such a response, stated_leaving_is_read_before_the_first_request five requests at a leaving upstream; both pass now.

Fix: the gate closes at the response itself, and the statement is applied as a stop of that incarnation: final, and disseminated like an announced one. What an incarnation states is read from one health check before its first request, since a node that has just started knows nothing of what its predecessor was told.

--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -148,6 +148,11 @@
         self.upstream_present.store(false, Ordering::SeqCst);
     }
 
+    /// Refuses all new attempts until the upstream is announced otherwise; returns whether it accepted them before.
+    pub fn mark_upstream_draining(&self) -> bool {
+        !self.upstream_draining.swap(true, Ordering::SeqCst)
+    }
+
     /// Refuses all new attempts from now on, because the node is shutting down.
     pub fn drain(&self) {
         self.leaving.store(true, Ordering::SeqCst);
--- a/pistachiolane/src/node/announcements.rs
+++ b/pistachiolane/src/node/announcements.rs
@@ -1,13 +1,21 @@
 //! Processes announcements of the local upstream.
 
 use {
-    super::{control_loop::ControlHandle, node_handle::UpstreamEventRequest, shared::Shared},
+    super::{
+        control_loop::ControlHandle,
+        gate_server::GateServer,
+        node_handle::UpstreamEventRequest,
+        shared::Shared,
+        upstream_statements::{
+            StatementSource, apply_statements, read_first_statements, states_leaving,
+        },
+    },
     crate::{
-        membership::{LocalUpstream, UpstreamChange, is_same_incarnation},
+        membership::{LocalUpstream, UpstreamChange, UpstreamEvent, is_same_incarnation},
         schema::{Announcement, Health, Placement},
     },
     std::{sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{sync::mpsc, time::sleep},
 };
 
 /// Number of announcement intervals after which an upstream without announcements expires. It is
@@ -21,29 +29,34 @@
 /// announcements stop. Runs until all node handles are dropped.
 pub async fn run_announcements(
     shared: Arc<Shared>,
+    gate: Arc<GateServer>,
     control: ControlHandle,
     mut events: mpsc::Receiver<UpstreamEventRequest>,
 ) {
     let mut upstream = LocalUpstream::new();
+    let mut leaving_upstream = shared.leaving_upstream.subscribe();
     loop {
         let expiry = shared.tunables.load().heartbeat * MAX_MISSED_ANNOUNCEMENTS;
-        match timeout((expiry / 4).max(MIN_EXPIRY_CHECK_INTERVAL), events.recv()).await {
-            Ok(None) => return,
-            Ok(Some((event, applied))) => {
-                let change = upstream.apply(shared.now(), event);
-                log_outdated(change);
-                if let Some(current) = upstream.current() {
-                    apply(&shared, current);
-                }
-                // Fails if the sender of the event disconnected and no longer waits for the result.
-                let _closed = applied.send(());
-                if change == UpstreamChange::Changed
-                    && let Some(current) = upstream.current()
-                {
-                    publish(&shared, &control, current).await;
-                }
+        let (event, applied) = tokio::select! {
+            event = events.recv() => match event {
+                Some((event, applied)) => (Some(event), Some(applied)),
+                None => return,
+            },
+            Ok(()) = leaving_upstream.changed() => {
+                let leaving = leaving_upstream.borrow_and_update().clone();
+                (leaving.map(|announced| stopping(&announced)), None)
+            }
+            () = sleep((expiry / 4).max(MIN_EXPIRY_CHECK_INTERVAL)) => (None, None),
+        };
+        if let Some(event) = event {
+            let change = apply_event(&shared, &gate, &mut upstream, event).await;
+            // Fails if the sender of the event disconnected and no longer waits for the result.
+            let _closed = applied.map(|applied| applied.send(()));
+            if change == UpstreamChange::Changed
+                && let Some(current) = upstream.current()
+            {
+                publish(&shared, &control, current).await;
             }
-            Err(_) => {}
         }
         if upstream.expire(shared.now(), expiry) {
             log::info!(target: "upstream", "expired: no announcement for {expiry:?}");
@@ -54,6 +67,45 @@
     }
 }
 
+/// Applies an event to the upstream's state and to the gate. What a new incarnation states is read before the gate
+/// admits requests to it.
+async fn apply_event(
+    shared: &Arc<Shared>,
+    gate: &GateServer,
+    upstream: &mut LocalUpstream,
+    event: UpstreamEvent,
+) -> UpstreamChange {
+    let change = upstream.apply(shared.now(), event);
+    log_outdated(change);
+    let Some(announced) = upstream.current().cloned() else {
+        return change;
+    };
+    let known = shared.upstream.load_full();
+    if known.is_some_and(|known| is_same_incarnation(&known, &announced)) {
+        apply(shared, &announced);
+        return change;
+    }
+    // The previous incarnation has ended, and its limit with it.
+    shared.admission.remove_upstream();
+    shared.admission.gate.stated_rate.set(None);
+    let statements = read_first_statements(shared, gate, &announced).await;
+    if statements.as_ref().is_some_and(|headers| states_leaving(&shared.dialect, headers)) {
+        upstream.apply(shared.now(), stopping(&announced));
+    }
+    apply(shared, upstream.current().unwrap_or(&announced));
+    if let Some(headers) = statements {
+        apply_statements(shared, &announced, &headers, StatementSource::Other);
+    }
+    change
+}
+
+fn stopping(announced: &Announcement) -> UpstreamEvent {
+    UpstreamEvent::Stopping {
+        instance: announced.instance.clone(),
+        started_ms: announced.started_ms,
+    }
+}
+
 fn log_outdated(change: UpstreamChange) {
     if change == UpstreamChange::Outdated {
         log::info!(
@@ -65,11 +117,6 @@
 
 fn apply(shared: &Shared, announcement: &Announcement) {
     let now = shared.now();
-    let known = shared.upstream.load_full();
-    if !known.is_some_and(|known| is_same_incarnation(&known, announcement)) {
-        // The previous incarnation has ended, and its limit with it.
-        shared.admission.gate.stated_rate.set(None);
-    }
     shared.admission.gate.set_usable_percent(shared.tunables.load().usable_slots);
     shared.upstream.store(Some(Arc::new(announcement.clone())));
     let max_connections =
--- a/pistachiolane/src/node/dialect.rs
+++ b/pistachiolane/src/node/dialect.rs
@@ -9,6 +9,9 @@
 /// Parses the rate that an upstream states to accept from a header value, in requests per second.
 pub type ParseRate = fn(&str) -> Option<f64>;
 
+/// Whether a header value states that the upstream is leaving.
+pub type StatesLeaving = fn(&str) -> bool;
+
 /// Headers that callers and upstreams use. A header that is `None` is neither read nor set.
 #[derive(Clone, Debug)]
 pub struct HeaderDialect {
@@ -29,6 +32,8 @@
     /// From the upstream: header with the rate of requests that it accepts, present on each response while that
     /// limit holds, and the function that parses it.
     pub rate_limit: Option<(HeaderName, ParseRate)>,
+    /// From the upstream: header that states that it is leaving, and the function that decodes it.
+    pub leaving: Option<(HeaderName, StatesLeaving)>,
     /// From the upstream: its instance id, on responses to health checks.
     pub instance: Option<HeaderName>,
     /// Whether callers accept fractions of a second in `Retry-After`.
@@ -47,6 +52,7 @@
             signature: None,
             slowness: None,
             rate_limit: None,
+            leaving: None,
             instance: None,
             fractional_retry_after: false,
         }
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -107,7 +107,12 @@
     // Tracked as work, because the shutdown must also wait for a connection that the entry has just
     // accepted.
     shared.work.spawn(Entry::new(driver).serve(caller_listener));
-    tokio::spawn(run_announcements(Arc::clone(&shared), control.clone(), events));
+    tokio::spawn(run_announcements(
+        Arc::clone(&shared),
+        Arc::clone(&gate),
+        control.clone(),
+        events,
+    ));
     for watch in settings_watch.into_iter().chain([native_settings_watch()]) {
         tokio::spawn(watch_settings(Arc::clone(&shared), control.clone(), watch));
     }
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -24,7 +24,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     tokio::{
-        sync::{Notify, mpsc},
+        sync::{Notify, mpsc, watch},
         time::{Duration, Instant},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -75,6 +75,8 @@
     pub admission: Admission,
     /// Queue of the attempts that wait for a slot.
     pub queue: QueueHandle,
+    /// Last local upstream that stated in a response that it is leaving.
+    pub leaving_upstream: watch::Sender<Option<Announcement>>,
     /// Probes of the local upstream's load.
     pub load_probe: LoadProbe,
     /// Connections to the gates of other nodes.
@@ -130,6 +132,7 @@
             upstream: ArcSwapOption::empty(),
             admission: Admission::new(node),
             queue,
+            leaving_upstream: watch::Sender::new(None),
             load_probe: LoadProbe::default(),
             hops: Hops::default(),
             attempt_sequence: AtomicU64::new(0),
--- a/pistachiolane/src/node/upstream_statements.rs
+++ b/pistachiolane/src/node/upstream_statements.rs
@@ -1,11 +1,26 @@
-//! What the local upstream states about itself in its responses: the rate of requests that it accepts.
+//! What the local upstream states about itself in its responses: the rate of requests that it accepts, and that it
+//! is leaving.
 
 use {
-    super::shared::Shared,
+    super::{
+        dialect::HeaderDialect,
+        gate_server::GateServer,
+        load_probe::{probe, probe_target},
+        shared::Shared,
+    },
     crate::{membership::is_same_incarnation, schema::Announcement},
     hyper::HeaderMap,
+    std::{sync::Arc, time::Duration},
+    tokio::time::{sleep, timeout},
 };
 
+/// Time limit for reading the statements of an upstream before its first request; its announcement is acknowledged
+/// after that, and the upstream waits for the acknowledgement for a second.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Interval between two checks whether routes are in force, which name the path to read from.
+const ROUTES_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Kind of response that statements are read from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StatementSource {
@@ -15,6 +30,14 @@
     Other,
 }
 
+/// Whether a response states that the upstream is leaving.
+pub fn states_leaving(dialect: &HeaderDialect, headers: &HeaderMap) -> bool {
+    let leaving = dialect.leaving.as_ref();
+    leaving.is_some_and(|(name, states)| {
+        headers.get(name).and_then(|value| value.to_str().ok()).is_some_and(states)
+    })
+}
+
 /// Puts the statements of a response of the upstream `announced` in force, unless another incarnation has replaced it.
 pub fn apply_statements(
     shared: &Shared,
@@ -26,6 +49,13 @@
     if !current.as_ref().is_some_and(|current| is_same_incarnation(current, announced)) {
         return;
     }
+    if states_leaving(&shared.dialect, headers) && shared.admission.gate.mark_upstream_draining() {
+        log::info!(
+            target: "upstream", instance = announced.instance.as_str(), service = &*announced.service;
+            "upstream states that it is leaving, no new requests"
+        );
+        shared.leaving_upstream.send_replace(Some(announced.clone()));
+    }
     apply_rate(shared, announced, headers, source);
 }
 
@@ -61,3 +91,33 @@
         log::info!(target: "upstream", instance, per_second; "stated rate limit changed");
     }
 }
+
+/// Reads the statements of an upstream that this node has sent no request to yet. A node that has just started
+/// knows nothing of what the upstream stated before.
+///
+/// Returns `None` if the upstream has no health check or its response is late.
+pub async fn read_first_statements(
+    shared: &Arc<Shared>,
+    gate: &GateServer,
+    announced: &Announcement,
+) -> Option<HeaderMap> {
+    if shared.dialect.leaving.is_none() && shared.dialect.rate_limit.is_none() {
+        return None;
+    }
+    let read = async {
+        while shared.settings_tree.load().routes().is_none() {
+            sleep(ROUTES_CHECK_INTERVAL).await;
+        }
+        let (path, pool) = probe_target(shared, gate, announced)?;
+        probe(shared, &path, &pool, announced).await
+    };
+    let started = shared.now();
+    let headers = timeout(FIRST_READ_TIMEOUT, read).await.ok().flatten();
+    let elapsed_ms = shared.now().since(started).as_millis() as u64;
+    log::info!(
+        target: "upstream", instance = announced.instance.as_str(), elapsed_ms,
+        is_read = headers.is_some();
+        "statements read before the first request"
+    );
+    headers
+}
