--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -54,7 +54,7 @@
 /// Upstream that speaks the platform's protocol.
 ///
 /// The last segment of the request path selects its behaviour: `foreign` (mismatched response), `unsigned`, `cut`,
-/// `extra`, `reset`, `unframed`, `shed`, `slow` or `large`, or, for bytes until the node closes the connection,
+/// `extra`, `reset`, `unframed`, `shed`, `slow`, `large` or `crash` (the upstream ends), or, for bytes until the node closes the connection,
 /// `endless-head`, `endless-noise`, `endless-unsigned`, `endless-body` or `endless-extra`; any other segment gets a
 /// valid response.
 #[derive(Debug)]
@@ -157,6 +157,11 @@
         Ok((upstream, address))
     }
 
+    /// Whether the upstream was stopped or has crashed.
+    pub fn is_stopped(&self) -> bool {
+        self.stop.is_cancelled()
+    }
+
     /// Stops the upstream and closes all its connections.
     pub fn stop(&self) {
         self.stop.cancel();
@@ -245,6 +250,10 @@
                     socket.write_all(&valid).await?;
                 }
                 "reset" => return Ok(()),
+                "crash" => {
+                    self.stop();
+                    return Ok(());
+                }
                 "unframed" => {
                     let head =
                         format!("HTTP/1.1 200 OK\r\n{signed}\r\nconnection: close\r\n\r\nbody");
@@ -257,20 +266,9 @@
                         self.cancelled.fetch_add(1, Ordering::SeqCst);
                     })?;
                 }
-                "endless-head" => {
-                    self.write_without_end(&mut socket, "HTTP/1.1 200 OK\r\nx-filler: ").await?;
-                }
-                "endless-noise" => self.write_without_end(&mut socket, "").await?,
-                "endless-unsigned" => {
-                    let head = format!("HTTP/1.1 200 OK\r\n{PLATFORM_REQUEST_ID}: {id}\r\n\r\n");
-                    self.write_without_end(&mut socket, &head).await?;
-                }
-                "endless-body" => {
-                    let head = format!("HTTP/1.1 200 OK\r\n{signed}\r\n\r\n");
-                    self.write_without_end(&mut socket, &head).await?;
-                }
-                "endless-extra" => {
-                    self.write_without_end(&mut socket, &String::from_utf8_lossy(&valid)).await?;
+                endless if endless.starts_with("endless-") => {
+                    let start = start_without_end(endless, &id, &signed, &valid);
+                    self.write_without_end(&mut socket, &start).await?;
                 }
                 _ => socket.write_all(&valid).await?,
             }
@@ -353,6 +351,17 @@
     }
 }
 
+/// Returns what precedes the bytes without end that the path segment `action` asks for.
+fn start_without_end(action: &str, id: &str, signed: &str, valid: &[u8]) -> String {
+    match action {
+        "endless-head" => "HTTP/1.1 200 OK\r\nx-filler: ".to_owned(),
+        "endless-unsigned" => format!("HTTP/1.1 200 OK\r\n{PLATFORM_REQUEST_ID}: {id}\r\n\r\n"),
+        "endless-body" => format!("HTTP/1.1 200 OK\r\n{signed}\r\n\r\n"),
+        "endless-extra" => String::from_utf8_lossy(valid).into_owned(),
+        _ => String::new(),
+    }
+}
+
 /// Sends a response with the header that marks the request as not executed.
 async fn send_not_executed(socket: &mut TcpStream) -> std::io::Result<()> {
     let head = "x-pistachiolane-not-executed: 1";
