Requests that crashed three upstreams are refused by all nodes

Cause: nothing about a request is remembered beyond its call, so each repeat, at any node, was a new request with a first attempt and a retry; failures are charged to upstreams only.

Fix: the gate tells a lost connection from an upstream that ended, records the fingerprints of the requests that ran, and all nodes share these observations by gossip and with the exchange at their start. Two crashes stop retries, three refuse the request. It works because the gate beside the upstream is the only one that sees the end, and every attempt passes an entry and a gate that know of it. An answer clears a request; what was answered lately is never suspected.

In virtual time: quarantine tests, and request_refused_everywhere_after_three_crashes at 12, 24 and 300 nodes (all refuse within 4 s).

--- a/lab/src/faults/simulation.rs
+++ b/lab/src/faults/simulation.rs
@@ -415,7 +415,8 @@
             MembershipAction::SettingsDiffer(_)
             | MembershipAction::MembersChanged
             | MembershipAction::RoundTrip(..)
-            | MembershipAction::Load(..) => {}
+            | MembershipAction::Load(..)
+            | MembershipAction::Suspects(_) => {}
         }
     }
 
--- a/lab/src/membership/simulated_network.rs
+++ b/lab/src/membership/simulated_network.rs
@@ -3,7 +3,8 @@
 use {
     pistachiolane::{
         membership::{Members, MembershipAction, MembershipEvent},
-        schema::{FleetKey, Health, MemberRecord},
+        recovery::{Fingerprint, Quarantine, Suspicion},
+        schema::{FleetKey, Health, MemberRecord, SuspectUpdate},
         tick::Tick,
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
@@ -38,6 +39,8 @@
     pub paused: BTreeSet<SocketAddr>,
     /// Addresses on one side of a partition; packets between the two sides are lost.
     pub partitioned: BTreeSet<SocketAddr>,
+    /// Suspected requests by the control address of the node that knows of them.
+    quarantines: BTreeMap<SocketAddr, Quarantine>,
 }
 
 /// Returns the control address of the node with an index.
@@ -74,6 +77,7 @@
             loss,
             paused: BTreeSet::new(),
             partitioned: BTreeSet::new(),
+            quarantines: BTreeMap::new(),
         };
         for index in 0..size {
             net.start(u64::from(index) + 1, index);
@@ -138,12 +142,34 @@
                         self.schedule_event(address, MembershipEvent::Records(records));
                     }
                 }
+                MembershipAction::Suspects(updates) => self.apply_suspects(address, &updates),
                 MembershipAction::SettingsDiffer(from) => self.exchange_settings(address, from),
                 _ => {}
             }
         }
     }
 
+    /// Applies observations of suspected requests at a node, and queues them there for the others if they are new.
+    pub fn apply_suspects(&mut self, address: SocketAddr, updates: &[SuspectUpdate]) {
+        let quarantine = self.quarantines.entry(address).or_default();
+        let version = quarantine.version();
+        for update in updates {
+            quarantine.apply(self.now, update);
+        }
+        if quarantine.version() != version {
+            let updates = quarantine.updates(self.now);
+            self.step(address, MembershipEvent::Suspects(updates));
+        }
+    }
+
+    /// Returns the number of nodes that refuse a request.
+    pub fn refusing_count(&self, fingerprint: Fingerprint) -> usize {
+        let refuses = |q: &&Quarantine| {
+            matches!(q.suspicion(self.now, fingerprint), Suspicion::Refused { .. })
+        };
+        self.quarantines.values().filter(refuses).count()
+    }
+
     /// Puts the settings with the higher digest in force at both nodes, as the exchange of two nodes
     /// does with the newer ones.
     fn exchange_settings(&mut self, address: SocketAddr, from: SocketAddr) {
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -207,7 +207,8 @@
                     MembershipAction::MembersChanged => changed = true,
                     MembershipAction::SettingsDiffer(_)
                     | MembershipAction::RoundTrip(..)
-                    | MembershipAction::Load(..) => {}
+                    | MembershipAction::Load(..)
+                    | MembershipAction::Suspects(_) => {}
                 }
             }
             if changed {
--- a/lab/tests/membership.rs
+++ b/lab/tests/membership.rs
@@ -4,7 +4,8 @@
     lab::membership::{SimulatedNetwork, control_address},
     pistachiolane::{
         membership::MembershipEvent,
-        schema::{Health, MemberRecord},
+        recovery::Fingerprint,
+        schema::{Health, MemberRecord, SuspectUpdate},
     },
     std::time::Duration,
     test_case::test_case,
@@ -43,6 +44,33 @@
     assert_eq!(net.alive_view_count(6), 0);
 }
 
+/// Guards against nodes that send on a request after it crashed three upstreams elsewhere (BUDGET): all refuse it
+/// within the four seconds that the platform allows, also when ten requests ran beside it each time.
+#[test_case(12, 0.0; "12 nodes")]
+#[test_case(24, 0.03; "24 nodes with packet loss")]
+#[test_case(300, 0.02; "300 nodes with packet loss")]
+fn request_refused_everywhere_after_three_crashes(size: u16, loss: f64) {
+    let mut net = SimulatedNetwork::new(size, loss, SEED);
+    net.run(Duration::from_secs(20));
+    let crashing = Fingerprint(77);
+    for crash in 1..=3_u16 {
+        let beside = (0..10).map(|n| 1_000 * u64::from(crash) + n);
+        let updates: Vec<SuspectUpdate> = std::iter::once(crashing.0)
+            .chain(beside)
+            .map(|fingerprint| SuspectUpdate {
+                fingerprint,
+                crash: u64::from(crash),
+                remaining_s: 600,
+                survived: false,
+            })
+            .collect();
+        net.apply_suspects(control_address(crash * 3), &updates);
+    }
+    net.run(Duration::from_secs(4));
+    assert_eq!(net.refusing_count(crashing), usize::from(size));
+    assert_eq!(net.refusing_count(Fingerprint(1_000)), 0);
+}
+
 #[test]
 fn paused_node_refutes_its_death() {
     let mut net = SimulatedNetwork::new(20, 0.01, SEED);
--- a/lab/tests/platform_crashes.rs
+++ b/lab/tests/platform_crashes.rs
@@ -38,7 +38,8 @@
     }
     for host in &hosts {
         host.wait_until("ready", async || host.readiness().await == 200).await;
-        let sees_all = async || host.node.shared().metrics.members.get() == HOSTS as i64;
+        let sees_all =
+            async || usize::try_from(host.node.shared().metrics.members.get()) == Ok(HOSTS);
         host.wait_until("all members", sees_all).await;
     }
     hosts
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -4,6 +4,7 @@
     super::{AttemptCause, CallAction, CallEvent, CallSpec, NotRunReason, Outcome},
     crate::{
         limits::{RefusalReason, TokenBucket, retry_after},
+        recovery::QUARANTINE,
         routing::{Candidate, Distance, PickRequest, ServiceTable, pick},
         schema::{AttemptId, LoadReport, Settlement, WorkKind},
         tick::Tick,
@@ -134,6 +135,13 @@
             CallEvent::Lost(id) => self.on_possible_run(now, cx, rng, id, false),
             // A settlement would repeat what the gate has said, and would close the connection
             // that other attempts use.
+            CallEvent::UpstreamCrashed { id, may_retry } => {
+                if !may_retry {
+                    // No further upstream may run the request.
+                    self.spec.max_attempts = 0;
+                }
+                self.on_possible_run(now, cx, rng, id, true)
+            }
             CallEvent::OutcomeUnknown(id) => self.on_possible_run(now, cx, rng, id, true),
             CallEvent::Answered { id, report, failed } => {
                 self.on_answered(now, cx, rng, id, report, failed)
@@ -192,6 +200,14 @@
                 self.was_refused_by_overload = true;
                 self.excluded_nodes.push(node);
             }
+            RefusalReason::Quarantined if self.in_flight.is_empty() => {
+                let outcome = if self.may_have_run {
+                    Outcome::Unknown
+                } else {
+                    Outcome::NotRun { reason: NotRunReason::Quarantined, retry_after: QUARANTINE }
+                };
+                return self.finish(now, outcome);
+            }
             RefusalReason::Expired if self.in_flight.is_empty() => {
                 let outcome = self.unsuccessful_outcome(now, cx, rng, NotRunReason::Expired);
                 return self.finish(now, outcome);
--- a/pistachiolane/src/attempt/call_event.rs
+++ b/pistachiolane/src/attempt/call_event.rs
@@ -18,6 +18,13 @@
     Lost(AttemptId),
     /// The gate responded that the attempt may have run and that no response will follow.
     OutcomeUnknown(AttemptId),
+    /// The upstream crashed while it ran the attempt.
+    UpstreamCrashed {
+        /// Attempt that it ran.
+        id: AttemptId,
+        /// Whether the request may be sent to another upstream.
+        may_retry: bool,
+    },
     /// The head of the upstream's response arrived.
     Answered {
         /// Attempt that the response belongs to.
--- a/pistachiolane/src/attempt/outcome.rs
+++ b/pistachiolane/src/attempt/outcome.rs
@@ -13,6 +13,8 @@
         NoUpstream,
         /// The time budget ended before an upstream accepted the request.
         Expired,
+        /// The request crashed upstreams that ran it, and is not sent on for a while.
+        Quarantined,
         /// The request body cannot be sent a second time.
         BodySpent,
     }
@@ -40,6 +42,7 @@
             Self::ServiceFull => "service-full",
             Self::NoUpstream => "no-upstream",
             Self::Expired => "expired",
+            Self::Quarantined => "quarantined",
             Self::BodySpent => "body-spent",
         }
     }
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -57,6 +57,8 @@
         Retired,
         /// The time budget is used up, or too short compared with the expected service time.
         Expired,
+        /// The request crashed upstreams that ran it.
+        Quarantined,
         /// The upstream itself rejected the request; each further attempt after it uses the retry budget.
         Shed,
     }
@@ -72,14 +74,22 @@
             Self::NotHere => "not-here",
             Self::Retired => "retired",
             Self::Expired => "expired",
+            Self::Quarantined => "quarantined",
             Self::Shed => "shed",
         }
     }
 
     /// Parses the name of a reason; an unknown name counts as [`Self::NotHere`].
     pub fn from_name(name: &[u8]) -> Self {
-        let all =
-            [Self::Busy, Self::QueueFull, Self::Draining, Self::Retired, Self::Expired, Self::Shed];
+        let all = [
+            Self::Busy,
+            Self::QueueFull,
+            Self::Draining,
+            Self::Retired,
+            Self::Expired,
+            Self::Quarantined,
+            Self::Shed,
+        ];
         all.into_iter().find(|r| r.name().as_bytes() == name).unwrap_or(Self::NotHere)
     }
 }
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -9,6 +9,7 @@
 use {
     super::{
         merge::supersedes,
+        suspect_queue::SuspectQueue,
         timing::{
             ACK_TIMEOUT, CROSS_REGION_FORWARDERS, CROSS_REGION_PINGS_PER_SECOND, DEAD_RETENTION,
             EXCHANGE_PERIOD, EXCHANGE_TIME_PER_MEMBER, INDIRECT_PROBES, INDIRECT_TIMEOUT,
@@ -21,10 +22,14 @@
     crate::{
         schema::{
             Acknowledgement, Health, LoadReport, MemberRecord, Packet, PacketBody, PingRequest,
+            SuspectUpdate,
         },
         tick::Tick,
     },
-    rand::{Rng, RngExt, seq::SliceRandom},
+    rand::{
+        Rng, RngExt,
+        seq::{IndexedRandom, SliceRandom},
+    },
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -49,6 +54,8 @@
     Records(Vec<MemberRecord>),
     /// The local record changed; its revision is raised by [`Members::step`].
     LocalRecord(MemberRecord),
+    /// What is known of suspected requests changed; all that other nodes need.
+    Suspects(Vec<SuspectUpdate>),
     /// The load of the local gate changed enough to send unsolicited load reports.
     Load(LoadReport),
 }
@@ -68,6 +75,8 @@
     RoundTrip(u64, Duration),
     /// A member reported the load of its gate.
     Load(u64, LoadReport),
+    /// A member sent what it knows of suspected requests.
+    Suspects(Vec<SuspectUpdate>),
 }
 
 value! {
@@ -112,6 +121,7 @@
     settings_digest: u64,
     others: BTreeMap<u64, Member>,
     updates: UpdateQueue,
+    suspects: SuspectQueue,
     probe_order: Vec<u64>,
     sequence: u32,
     probes: HashMap<u32, Probe>,
@@ -122,6 +132,7 @@
     next_rejoin_at: Tick,
     has_urgent_update: bool,
     next_urgent_send_at: Tick,
+    next_suspects_send_at: Tick,
     next_suspect_check_at: Tick,
     next_anti_entropy_at: Tick,
     last_exchange_at: Option<Tick>,
@@ -141,6 +152,7 @@
             settings_digest: 0,
             others: BTreeMap::new(),
             updates,
+            suspects: SuspectQueue::default(),
             probe_order: Vec::new(),
             sequence: 0,
             probes: HashMap::new(),
@@ -151,6 +163,7 @@
             next_rejoin_at: now,
             has_urgent_update: false,
             next_urgent_send_at: now,
+            next_suspects_send_at: now,
             next_suspect_check_at: now,
             next_anti_entropy_at: now + EXCHANGE_PERIOD,
             last_exchange_at: None,
@@ -256,6 +269,7 @@
                 self.merge_all(now, records, Dissemination::Skip, &mut actions);
             }
             MembershipEvent::LocalRecord(record) => self.update_local_record(record, &mut actions),
+            MembershipEvent::Suspects(updates) => self.suspects.set(updates),
             MembershipEvent::Load(report) => self.send_load_report(rng, report, &mut actions),
         }
         invariant!(self.others.len() <= MAX_MEMBERS, "members_bounded");
@@ -306,6 +320,9 @@
         if self.has_urgent_update && now >= self.next_urgent_send_at {
             self.send_urgent_updates(now, rng, actions);
         }
+        if self.suspects.has_pending(self.others.len() + 1) && now >= self.next_suspects_send_at {
+            self.send_suspects(now, rng, actions);
+        }
         if now >= self.next_anti_entropy_at {
             self.exchange_with_random_member(now, rng, actions);
         }
@@ -455,6 +472,34 @@
         }
     }
 
+    /// Sends what is known of suspected requests to a few members of the region, and sometimes to one of another.
+    fn send_suspects<R: Rng>(
+        &mut self,
+        now: Tick,
+        rng: &mut R,
+        actions: &mut Vec<MembershipAction>,
+    ) {
+        self.next_suspects_send_at = now + URGENT_SEND_PERIOD;
+        let fleet_size = self.others.len() + 1;
+        let nearby: Vec<SocketAddr> = self.region_members().map(|r| r.control).collect();
+        let remote: Vec<SocketAddr> = self
+            .records()
+            .filter(|r| r.region != self.local.region && r.health != Health::Dead)
+            .map(|r| r.control)
+            .collect();
+        let forwards = (CROSS_REGION_FORWARDERS / (nearby.len() + 1) as f64).min(1.0);
+        let mut receivers: Vec<SocketAddr> = nearby.sample(rng, URGENT_FANOUT).copied().collect();
+        if rng.random_bool(forwards) {
+            receivers.extend(remote.sample(rng, 1).copied());
+        }
+        for address in receivers {
+            let batch = self.suspects.next_batch(fleet_size);
+            let sequence = self.next_sequence();
+            let packet = self.build_packet(sequence, PacketBody::Suspects(batch));
+            actions.push(MembershipAction::Send(address, packet));
+        }
+    }
+
     fn maybe_ping_other_region<R: Rng>(
         &mut self,
         rng: &mut R,
@@ -596,6 +641,7 @@
             PacketBody::PingRequest(req) => self.relay_ping(now, from, sequence, &req, actions),
             PacketBody::Ack(ack) => self.on_acknowledgement(now, sequence, &ack, from, actions),
             PacketBody::Load(report) => actions.push(MembershipAction::Load(packet.from, report)),
+            PacketBody::Suspects(updates) => actions.push(MembershipAction::Suspects(updates)),
         }
     }
 
--- a/pistachiolane/src/membership/mod.rs
+++ b/pistachiolane/src/membership/mod.rs
@@ -4,6 +4,7 @@
 mod local_upstream;
 mod members;
 mod merge;
+mod suspect_queue;
 mod timing;
 mod updates;
 
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -157,6 +157,8 @@
     hedges_won: Counter,
     /// Settlement requests to gates, by result.
     settled: Cases,
+    /// Crashes of the local upstream while it ran requests.
+    upstream_crashes: Counter,
     /// Load probes sent.
     probes: Counter,
     /// Load probes sent to the local upstream.
@@ -183,6 +185,8 @@
     changes: Cases,
     /// Live members in the node's membership view.
     members: Gauge,
+    /// Observations of requests suspected of crashing upstreams, as known to this node.
+    suspects: Gauge,
     /// Requests per second that the local upstream states to accept; 0 while it states no limit.
     upstream_rate_limit: RateGauge,
     /// Invariant violations since the process started.
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/attempt_driver.rs
@@ -13,6 +13,7 @@
         attempt::{AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec, Outcome},
         limits::RefusalReason,
         metrics::Metrics,
+        recovery::{Fingerprint, Suspicion},
         routing::{Candidate, ServiceTable},
         schema::{AttemptHeader, AttemptId, LoadReport, SettleRequest, Settlement, WorkKind},
         tick::Tick,
@@ -48,6 +49,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: OutgoingBody,
+    /// Fingerprint of what the request asks for.
+    pub fingerprint: Fingerprint,
     /// Whether the first attempt already carries the retry marker.
     pub is_retry: bool,
 }
@@ -62,6 +65,14 @@
 }
 
 impl OutgoingBody {
+    /// Returns the start of the body, as far as it is buffered, and a lower bound on its length.
+    pub fn start(&self) -> (&[u8], u64) {
+        match self {
+            Self::Buffered(bytes) => (bytes, bytes.len() as u64),
+            Self::Streamed(_) => (&[], self.min_size()),
+        }
+    }
+
     /// Returns a lower bound on the bytes that the next attempt sends; 0 after a streamed body was
     /// sent.
     fn min_size(&self) -> u64 {
@@ -92,6 +103,8 @@
     Lost,
     /// The gate responded that the attempt may have run; there will be no response of the upstream.
     Unknown,
+    /// This incarnation of the upstream crashed while it ran the attempt.
+    Crashed(u64),
     /// Response of the upstream, load report of the gate, and whether the upstream failed such that
     /// another one may succeed.
     Answered(Response<Body>, Option<LoadReport>, bool),
@@ -107,6 +120,7 @@
             Self::Unsent => "unsent",
             Self::Lost => "lost",
             Self::Unknown => "unknown",
+            Self::Crashed(_) => "crashed",
             Self::Answered(_, _, true) => "failed",
             Self::Answered(..) => "answered",
             Self::Settled(_) => "settled",
@@ -265,13 +279,21 @@
             CallEvent::Unsent(id) => (id, "attempt not sent", "no connection"),
             CallEvent::Lost(id) => (id, "attempt lost", "no usable response"),
             CallEvent::OutcomeUnknown(id) => (id, "attempt lost", "outcome unknown at the gate"),
+            CallEvent::UpstreamCrashed { id, may_retry: true } => {
+                (id, "attempt lost", "upstream crashed")
+            }
+            CallEvent::UpstreamCrashed { id, may_retry: false } => {
+                (id, "attempt lost", "upstream crashed, as others did under this request")
+            }
             CallEvent::Settled(id, settlement) => {
                 (id, "attempt settled", settlement.map_or("unreachable", settlement_name))
             }
             _ => return,
         };
         log::info!(
-            target: "entry", request = self.request_id, attempt = id.name().as_str(), why; "{message}"
+            target: "entry", request = self.request_id, attempt = id.name().as_str(),
+            fingerprint = self.req.fingerprint.0, why;
+            "{message}"
         );
     }
 
@@ -315,7 +337,14 @@
                 metrics.lost.inc();
                 CallEvent::OutcomeUnknown(id)
             }
+            AttemptResult::Crashed(crash) => {
+                metrics.lost.inc();
+                let may_retry = self.record_crash(crash);
+                CallEvent::UpstreamCrashed { id, may_retry }
+            }
             AttemptResult::Answered(res, report, failed) => {
+                let shared = &self.driver.shared;
+                shared.quarantine.record_survival(shared.now(), self.req.fingerprint);
                 let request_bytes = self.req.body.min_size();
                 let response_bytes = res.body().size_hint().exact().unwrap_or(0);
                 self.table.state.bytes.record((request_bytes + response_bytes) as f64);
@@ -326,6 +355,18 @@
         }
     }
 
+    /// Records that an upstream crashed under the request; returns whether another one may still run it.
+    fn record_crash(&self, crash: u64) -> bool {
+        let (shared, fingerprint) = (&self.driver.shared, self.req.fingerprint);
+        let now = shared.now();
+        shared.quarantine.record_crash(now, fingerprint, crash);
+        match shared.quarantine.suspicion(now, fingerprint) {
+            Suspicion::None => true,
+            Suspicion::Suspect { may_retry } => may_retry,
+            Suspicion::Refused { .. } => false,
+        }
+    }
+
     fn send(
         &mut self,
         id: AttemptId,
@@ -405,6 +446,8 @@
         let mut req =
             Request::builder().method(self.req.method.clone()).uri(uri).body(body).ok()?;
         *req.headers_mut() = self.req.headers.clone();
+        let fingerprint = HeaderValue::from(self.req.fingerprint.0);
+        req.headers_mut().insert(headers::FINGERPRINT, fingerprint);
         if self.req.is_retry || cause != AttemptCause::First {
             req.headers_mut().insert(headers::RETRIED, HeaderValue::from_static("1"));
         }
@@ -509,6 +552,9 @@
     if let Some(reason) = res.headers().get(headers::REFUSED) {
         return AttemptResult::Refused(RefusalReason::from_name(reason.as_bytes()), report);
     }
+    if let Some(crash) = headers::parse_number(res.headers(), &headers::CRASHED) {
+        return AttemptResult::Crashed(crash);
+    }
     match res.headers().contains_key(headers::OUTCOME) {
         // The gate has a record of another delivery of the attempt, which only a settlement reads.
         true if res.status() == StatusCode::CONFLICT => return AttemptResult::Lost,
--- a/pistachiolane/src/node/control_client.rs
+++ b/pistachiolane/src/node/control_client.rs
@@ -7,6 +7,7 @@
     },
     crate::schema::{
         ExchangeReply, FleetKey, MemberRecord, SettleRequest, Settlement, Subtree, SubtreeVersion,
+        SuspectUpdate,
     },
     std::{net::SocketAddr, time::Duration},
     tarpc::{
@@ -90,6 +91,18 @@
     call(key, address, CALL_TIMEOUT, async |c| c.has_version(cx, subtree).await).await
 }
 
+/// Returns what a node knows of suspected requests.
+///
+/// # Errors
+/// Fails if the node is unreachable or of an earlier build, the call fails or no reply is received in time.
+pub async fn suspects(
+    key: &FleetKey,
+    address: SocketAddr,
+) -> Result<Vec<SuspectUpdate>, ControlError> {
+    let cx = context_with_timeout(CALL_TIMEOUT);
+    call(key, address, CALL_TIMEOUT, async |c| c.suspects(cx).await).await
+}
+
 /// Settles an attempt with its gate: retires the connection that carried it and returns its
 /// outcome.
 ///
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -9,7 +9,7 @@
         routing::RoutingTable,
         schema::{
             ExchangeReply, Health, LoadReport, MemberRecord, Packet, Placement, Subtree,
-            SubtreeVersion,
+            SubtreeVersion, SuspectUpdate,
         },
     },
     std::{
@@ -78,6 +78,8 @@
     /// Number of alive members of the region that precede the node in the order of store watchers.
     watch_rank: u64,
     is_isolated: bool,
+    /// Version of the suspected requests that were last queued for the other nodes.
+    suspects_version: u64,
     is_comparing_settings: Arc<AtomicBool>,
 }
 
@@ -163,6 +165,7 @@
             is_table_outdated: true,
             watch_rank: 0,
             is_isolated: false,
+            suspects_version: 0,
             is_comparing_settings: Arc::default(),
         };
         (control, handle)
@@ -178,6 +181,7 @@
         loop {
             tokio::select! {
                 _tick = timer.tick() => {
+                    self.publish_suspects();
                     self.step(MembershipEvent::Timer);
                     self.rebuild_routing_table();
                     self.update_watch_rank();
@@ -236,6 +240,9 @@
                 MembershipAction::SettingsDiffer(from) => self.compare_settings(from),
                 MembershipAction::MembersChanged => self.is_table_outdated = true,
                 MembershipAction::RoundTrip(node, time) => self.record_round_trip(node, time),
+                MembershipAction::Suspects(updates) => {
+                    apply_suspects(&self.shared, &updates);
+                }
                 MembershipAction::Load(node, report) => self.record_load_report(node, &report),
             }
         }
@@ -299,10 +306,32 @@
         self.shared.watch_rank.store(rank, Ordering::Relaxed);
     }
 
+    /// Queues what is known of suspected requests for the other nodes, if it changed.
+    fn publish_suspects(&mut self) {
+        let version = self.shared.quarantine.version();
+        if std::mem::replace(&mut self.suspects_version, version) != version {
+            let updates = self.shared.quarantine.updates(self.shared.now());
+            self.shared.metrics.suspects.set(i64::try_from(updates.len()).unwrap_or(i64::MAX));
+            self.step(MembershipEvent::Suspects(updates));
+        }
+    }
+
     fn fetch_members(&self, from: SocketAddr) {
         let (shared, handle) = (Arc::clone(&self.shared), self.handle.clone());
         tokio::spawn(async move {
-            if let Ok(records) = control_client::members(&shared.settings.fleet_key, from).await {
+            let key = &shared.settings.fleet_key;
+            let (records, suspects) = tokio::join!(
+                control_client::members(key, from),
+                control_client::suspects(key, from)
+            );
+            match suspects {
+                Ok(updates) => apply_suspects(&shared, &updates),
+                Err(e) => {
+                    log::debug!(target: "quarantine", "suspected requests not read from {from}: {e}");
+                }
+            }
+            // The records complete the join, so the suspects come before them.
+            if let Ok(records) = records {
                 handle.merge_records(records).await;
             }
         });
@@ -356,6 +385,12 @@
     }
 }
 
+fn apply_suspects(shared: &Shared, updates: &[SuspectUpdate]) {
+    for update in updates {
+        shared.quarantine.apply(shared.now(), update);
+    }
+}
+
 async fn compare_settings(
     shared: &Shared,
     handle: &ControlHandle,
--- a/pistachiolane/src/node/control_service.rs
+++ b/pistachiolane/src/node/control_service.rs
@@ -7,6 +7,7 @@
     },
     crate::schema::{
         ExchangeReply, MemberRecord, SettleRequest, Settlement, Subtree, SubtreeVersion,
+        SuspectUpdate,
     },
     futures::StreamExt,
     std::{sync::Arc, time::Duration},
@@ -41,6 +42,8 @@
     async fn has_version(subtree: SubtreeVersion) -> bool;
     /// Retires a connection and returns the outcome of an attempt that it carried.
     async fn settle(req: SettleRequest) -> Settlement;
+    /// Returns what the node knows of suspected requests.
+    async fn suspects() -> Vec<SuspectUpdate>;
 }
 
 /// Server for the control calls to one node.
@@ -121,4 +124,8 @@
         self.gate.retire_connection(req.id.entry, req.connection);
         settlement
     }
+
+    async fn suspects(self, _cx: Context) -> Vec<SuspectUpdate> {
+        self.shared.quarantine.updates(self.shared.now())
+    }
 }
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -16,6 +16,7 @@
     crate::{
         attempt::{CallSpec, NotRunReason, Outcome},
         metrics::Metrics,
+        recovery::{Fingerprint, Suspicion},
         routing::{Candidate, NO_UPSTREAM_RETRY_AFTER, ProbeBudgets, ServiceTable, next_probe},
         schema::{CallerLimits, WorkKind},
         tick::Tick,
@@ -280,13 +281,26 @@
         let caller_budget = headers::parse_number(&head.headers, &shared.dialect.budget_ms);
         let (spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
         let table = shared.routing_table.load().service(&route.service).map(Arc::clone);
-        let result = match table {
-            None if !shared.is_ready() => return Err(Rejection::NotReady),
-            None => CallResult::NoResponse(Outcome::NotRun {
+        let now = shared.now();
+        let suspicion = shared.quarantine.suspicion(now, outgoing.fingerprint);
+        let result = match (table, suspicion) {
+            (Some(_), Suspicion::Refused { remaining }) => {
+                log::info!(
+                    target: "entry", request = id, fingerprint = outgoing.fingerprint.0,
+                    remaining_s = remaining.as_secs();
+                    "request refused, it crashed upstreams"
+                );
+                CallResult::NoResponse(Outcome::NotRun {
+                    reason: NotRunReason::Quarantined,
+                    retry_after: remaining,
+                })
+            }
+            (None, _) if !shared.is_ready() => return Err(Rejection::NotReady),
+            (None, _) => CallResult::NoResponse(Outcome::NotRun {
                 reason: NotRunReason::NoUpstream,
                 retry_after: NO_UPSTREAM_RETRY_AFTER,
             }),
-            Some(table) => {
+            (Some(table), _) => {
                 self.eject_and_probe(&table);
                 self.driver.drive(&table, spec, outgoing, id).await
             }
@@ -351,6 +365,7 @@
         let shared = &self.driver.shared;
         let policy = &route.policy;
         let is_retry = parts.headers.contains_key(headers::RETRIED);
+        let host = host_name(&parts);
         let budget = headers::parse_number(&parts.headers, &shared.dialect.budget_ms)
             .map_or(policy.timeout, |ms| policy.timeout.min(Duration::from_millis(ms)));
         remove_reserved_headers(&mut parts.headers, shared);
@@ -374,8 +389,15 @@
             priority: route.priority,
         };
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
-        let headers = parts.headers;
-        Ok((spec, OutgoingRequest { method: parts.method, path, headers, body, is_retry }))
+        let (body_start, body_length) = body.start();
+        let caller = shared.local_service();
+        let fingerprint = Fingerprint::new(
+            [&*caller, parts.method.as_str(), host.as_str(), path.as_str()],
+            body_start,
+            body_length,
+        );
+        let (method, headers) = (parts.method, parts.headers);
+        Ok((spec, OutgoingRequest { method, path, headers, body, fingerprint, is_retry }))
     }
 
     fn build_response(&self, result: CallResult) -> Response<Body> {
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -15,14 +15,16 @@
     crate::{
         attempt::{AttemptDecision, Ticket},
         limits::{QueueKey, RefusalReason, StartDeadlines},
+        membership::is_same_incarnation,
         metrics::Metrics,
+        recovery::{Fingerprint, Suspicion},
         schema::{Announcement, AttemptHeader, FleetKey, WireError},
         tick::Tick,
     },
     arc_swap::ArcSwapOption,
     http_body_util::BodyExt,
     hyper::{
-        Request, Response, StatusCode, Uri,
+        HeaderMap, Request, Response, StatusCode, Uri,
         body::{Body as _, Incoming},
         header,
         service::service_fn,
@@ -40,7 +42,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::oneshot,
+        sync::{Mutex, oneshot},
         time::{error::Elapsed, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -68,6 +70,13 @@
 /// The upstream itself responds at the deadline, and an entry cancels its attempt when the call ends.
 const UPSTREAM_DEADLINE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time limit for connecting to an upstream to check whether it has ended; it is on the same host.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Time for which a check that found the upstream running holds: requests that lost their connections together share
+/// one.
+const CRASH_CHECK_VALIDITY: Duration = Duration::from_millis(20);
+
 /// Depth of nested calls that is assumed for a request without a depth header.
 const DEFAULT_DEPTH: u64 = 0;
 
@@ -81,6 +90,16 @@
     connections: HashMap<(u64, u64), CancellationToken>,
     open_connections: TaskTracker,
     closing: CancellationToken,
+    /// Locked only after a lost connection.
+    last_crash_check: Mutex<Option<CrashCheck>>,
+}
+
+/// Result of the last check whether an upstream that lost a connection has ended.
+#[derive(Debug)]
+struct CrashCheck {
+    incarnation: u64,
+    at: Tick,
+    has_crashed: bool,
 }
 
 /// One incarnation of the upstream, with the connections to it.
@@ -149,6 +168,7 @@
             connections: HashMap::new(),
             open_connections: TaskTracker::new(),
             closing: CancellationToken::new(),
+            last_crash_check: Mutex::const_new(None),
         })
     }
 
@@ -251,6 +271,11 @@
         req: Request<Body>,
     ) -> Response<Body> {
         let shared = &self.shared;
+        let fingerprint =
+            headers::parse_number(req.headers(), &headers::FINGERPRINT).map(Fingerprint);
+        if fingerprint.is_some_and(|f| self.is_quarantined(f, req.headers())) {
+            return self.refuse(&attempt, RefusalReason::Quarantined);
+        }
         let service_time = shared.admission.times.expected(attempt.class);
         shared.load_probe.refresh(shared, service_time).await;
         let (ticket, slot) = match shared.admission.admit(shared.now(), &attempt) {
@@ -273,7 +298,19 @@
         }
         let ticket = Some(waiting.ticket.clone());
         let guard = RunGuard { shared: Arc::clone(shared), ticket, _slot: slot };
-        self.run_attempt(guard, &attempt, deadline, req).await
+        self.run_attempt(guard, &attempt, fingerprint, deadline, req).await
+    }
+
+    /// Whether the request crashed too many upstreams to run once more.
+    fn is_quarantined(&self, fingerprint: Fingerprint, req_headers: &HeaderMap) -> bool {
+        let shared = &self.shared;
+        match shared.quarantine.suspicion(shared.now(), fingerprint) {
+            Suspicion::None => false,
+            Suspicion::Suspect { may_retry } => {
+                !may_retry && req_headers.contains_key(headers::RETRIED)
+            }
+            Suspicion::Refused { .. } => true,
+        }
     }
 
     async fn wait_for_slot(
@@ -295,6 +332,7 @@
         &self,
         guard: RunGuard,
         attempt: &AttemptHeader,
+        fingerprint: Option<Fingerprint>,
         deadline: Tick,
         mut req: Request<Body>,
     ) -> Response<Body> {
@@ -320,6 +358,9 @@
                         let failed = res.status().is_server_error();
                         gate.observe(shared.now(), elapsed, !failed);
                         shared.admission.times.record(attempt.class, elapsed);
+                        if let Some(fingerprint) = fingerprint {
+                            shared.quarantine.record_survival(shared.now(), fingerprint);
+                        }
                         self.forward_response(guard, pooled, attempt, deadline, res).await
                     }
                     ResponseKind::NotRun(reason) => {
@@ -342,7 +383,11 @@
             }
             Ok(Err(e)) => {
                 gate.observe(shared.now(), elapsed, false);
-                self.outcome_unknown(attempt, &e.to_string())
+                let has_crashed = self.has_crashed(&announced).await;
+                match fingerprint.filter(|_| has_crashed) {
+                    Some(fingerprint) => self.upstream_crashed(attempt, fingerprint, &announced),
+                    None => self.outcome_unknown(attempt, &e.to_string()),
+                }
             }
             Err(_) => {
                 gate.observe(shared.now(), elapsed, true);
@@ -498,6 +543,61 @@
         self.with_report(res)
     }
 
+    /// Whether an upstream that lost a connection has ended: nothing listens on its address any more.
+    async fn has_crashed(&self, announced: &Announcement) -> bool {
+        let incarnation = Fingerprint::of_incarnation(announced);
+        let mut last = self.last_crash_check.lock().await;
+        let is_valid = |check: &CrashCheck| {
+            let age = self.shared.now().since(check.at);
+            check.incarnation == incarnation && (check.has_crashed || age < CRASH_CHECK_VALIDITY)
+        };
+        if let Some(check) = last.as_ref().filter(|check| is_valid(check)) {
+            return check.has_crashed;
+        }
+        let connect = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(announced.address)).await;
+        let has_crashed =
+            matches!(connect, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused);
+        *last = Some(CrashCheck { incarnation, at: self.shared.now(), has_crashed });
+        if has_crashed {
+            self.remove_crashed(announced);
+        }
+        has_crashed
+    }
+
+    /// Closes the gate until the next announcement, unless another incarnation is already announced.
+    fn remove_crashed(&self, announced: &Announcement) {
+        let shared = &self.shared;
+        shared.metrics.upstream_crashes.inc();
+        log::warn!(
+            target: "upstream", instance = announced.instance.as_str(),
+            service = &*announced.service, running = shared.admission.gate.running();
+            "upstream crashed while it ran requests"
+        );
+        let current = shared.upstream.load();
+        if current.as_ref().is_some_and(|current| is_same_incarnation(current, announced)) {
+            shared.admission.remove_upstream();
+        }
+    }
+
+    fn upstream_crashed(
+        &self,
+        attempt: &AttemptHeader,
+        fingerprint: Fingerprint,
+        announced: &Announcement,
+    ) -> Response<Body> {
+        let shared = &self.shared;
+        let crash = Fingerprint::of_incarnation(announced);
+        let crashes = shared.quarantine.record_crash(shared.now(), fingerprint, crash);
+        log::warn!(
+            target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service,
+            fingerprint = fingerprint.0, crashes;
+            "upstream crashed under the attempt"
+        );
+        let mut res = self.with_report(responses::unknown(StatusCode::BAD_GATEWAY));
+        responses::set_header(&mut res, &headers::CRASHED, &crash.to_string());
+        res
+    }
+
     fn outcome_unknown(&self, attempt: &AttemptHeader, why: &str) -> Response<Body> {
         log::warn!(
             target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service, why;
--- a/pistachiolane/src/node/headers.rs
+++ b/pistachiolane/src/node/headers.rs
@@ -32,6 +32,13 @@
 /// Marks a request that repeats a failed one, to the upstream and from nested callers.
 pub const RETRIED: HeaderName = HeaderName::from_static("pistachiolane-retried");
 
+/// Fingerprint of a request as a decimal number, from entry to gate.
+pub const FINGERPRINT: HeaderName = HeaderName::from_static("pistachiolane-fingerprint");
+
+/// Identity of the upstream incarnation that crashed while it ran the attempt as a decimal number, from gate to
+/// entry.
+pub const CRASHED: HeaderName = HeaderName::from_static("pistachiolane-crashed");
+
 /// Path at which a gate serves load probes.
 pub const PROBE_PATH: &str = "/pistachiolane/probe";
 
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -12,6 +12,7 @@
         config::SettingsTree,
         limits::TokenBucket,
         metrics::Metrics,
+        recovery::Quarantine,
         routing::RoutingTable,
         schema::{Announcement, MemberRecord},
         settings::{ProcessSettings, Tunables},
@@ -77,6 +78,8 @@
     pub queue: QueueHandle,
     /// Last local upstream that stated in a response that it is leaving.
     pub leaving_upstream: watch::Sender<Option<Announcement>>,
+    /// Requests that crash the upstreams that run them.
+    pub quarantine: Quarantine,
     /// Probes of the local upstream's load.
     pub load_probe: LoadProbe,
     /// Connections to the gates of other nodes.
@@ -132,6 +135,7 @@
             upstream: ArcSwapOption::empty(),
             admission: Admission::new(node),
             queue,
+            quarantine: Quarantine::default(),
             leaving_upstream: watch::Sender::new(None),
             load_probe: LoadProbe::default(),
             hops: Hops::default(),
--- a/pistachiolane/src/schema/mod.rs
+++ b/pistachiolane/src/schema/mod.rs
@@ -14,6 +14,7 @@
     generated_messages::{
         Acknowledgement, AttemptHeader, AttemptId, ExchangeReply, Health, MemberRecord, Packet,
         PacketBody, PingRequest, Placement, SettleRequest, Settlement, Subtree, SubtreeVersion,
+        SuspectUpdate,
     },
     generated_settings::{
         Announcement, CallerLimits, RegionSettings, RootDocument, RouteSettings, RouteTarget,
