The check for a crashed upstream keeps its connection

After, non_idempotent_request_with_invalid_response_runs_once failed: the check opened a connection beside the pool, so the upstream counted three in place of two. The check now goes through the pool, and the next request uses its connection.

--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -383,7 +383,7 @@
             }
             Ok(Err(e)) => {
                 gate.observe(shared.now(), elapsed, false);
-                let has_crashed = self.has_crashed(&announced).await;
+                let has_crashed = self.has_crashed(&announced, &pool).await;
                 match fingerprint.filter(|_| has_crashed) {
                     Some(fingerprint) => self.upstream_crashed(attempt, fingerprint, &announced),
                     None => self.outcome_unknown(attempt, &e.to_string()),
@@ -544,7 +544,7 @@
     }
 
     /// Whether an upstream that lost a connection has ended: nothing listens on its address any more.
-    async fn has_crashed(&self, announced: &Announcement) -> bool {
+    async fn has_crashed(&self, announced: &Announcement, pool: &UpstreamPool) -> bool {
         let incarnation = Fingerprint::of_incarnation(announced);
         let mut last = self.last_crash_check.lock().await;
         let is_valid = |check: &CrashCheck| {
@@ -554,9 +554,8 @@
         if let Some(check) = last.as_ref().filter(|check| is_valid(check)) {
             return check.has_crashed;
         }
-        let connect = timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect(announced.address)).await;
-        let has_crashed =
-            matches!(connect, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused);
+        let check = pool.has_ended();
+        let has_crashed = timeout(CRASH_CHECK_TIMEOUT, check).await.unwrap_or(false);
         *last = Some(CrashCheck { incarnation, at: self.shared.now(), has_crashed });
         if has_crashed {
             self.remove_crashed(announced);
--- a/pistachiolane/src/node/upstream_pool.rs
+++ b/pistachiolane/src/node/upstream_pool.rs
@@ -14,7 +14,7 @@
     },
     hyper_util::rt::TokioIo,
     std::{
-        fmt,
+        fmt, io,
         net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
         time::Duration,
@@ -172,10 +172,32 @@
         }
     }
 
+    /// Whether the upstream has ended: nothing listens on its address any more. Otherwise, the connection that showed
+    /// this is kept for the next request.
+    pub async fn has_ended(&self) -> bool {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+        match connecting {
+            Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(socket)) => {
+                // A listener that breaks the connection off is still there.
+                if let Ok(connection) = Self::open(socket).await {
+                    self.return_connection(connection);
+                }
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
     async fn connect(&self) -> Result<UpstreamConnection, UpstreamError> {
         let unsent = |e: &dyn fmt::Display| UpstreamError::Unsent(e.to_string());
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let socket = connecting.map_err(|e| unsent(&e))?.map_err(|e| unsent(&e))?;
+        Self::open(socket).await
+    }
+
+    async fn open(socket: TcpStream) -> Result<UpstreamConnection, UpstreamError> {
+        let unsent = |e: &dyn fmt::Display| UpstreamError::Unsent(e.to_string());
         configure(&socket).map_err(|e| unsent(&e))?;
         let mut http = http1::Builder::new();
         http.max_buf_size(MAX_HEAD_BYTES);
