Settings travel compressed, and a node that misses a change reads the store

Cause: after the configuration grew by 1,772 routes, each change is a document of 366 KB. Not the cause: the number of watchers, and nodes that hear no packets.

Fix: documents travel deflated, packed once for each version and passed on as received; the time limit covers a large document, and another comparison starts beside one that hangs. A node whose peers keep showing other settings for a second reads the store itself, spread over half a second. The age of the settings is in the line of a 404, in status and metrics; failed comparisons are logged. Nodes of earlier builds still exchange plain documents.

--- a/pistachiolane/src/config/mod.rs
+++ b/pistachiolane/src/config/mod.rs
@@ -5,8 +5,10 @@
 mod change;
 mod checks;
 mod edit;
+mod packing;
 mod restoration;
 mod route_table;
+mod settings_age;
 mod token;
 mod tree;
 mod validation_error;
@@ -16,8 +18,10 @@
     change::{Change, ChangeAction, ChangeEvent, ChangeOutcome, ReadResult, WriteResult},
     checks::check_document,
     edit::{get_path, set_path},
+    packing::{PackingError, pack, unpack},
     restoration::lost_subtrees,
     route_table::{Route, RouteTable},
+    settings_age::SettingsAge,
     token::{new_token_digest, verify_token},
     tree::{RequestPolicy, SettingsTree},
     validation_error::ValidationError,
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -187,6 +187,8 @@
     members: Gauge,
     /// Observations of requests suspected of crashing upstreams, as known to this node.
     suspects: Gauge,
+    /// Milliseconds since a peer or the store last confirmed the settings in force.
+    settings_age_ms: Gauge,
     /// Requests per second that the local upstream states to accept; 0 while it states no limit.
     upstream_rate_limit: RateGauge,
     /// Invariant violations since the process started.
--- a/pistachiolane/src/node/control_client.rs
+++ b/pistachiolane/src/node/control_client.rs
@@ -6,8 +6,8 @@
         postcard_codec::PostcardCodec,
     },
     crate::schema::{
-        ExchangeReply, FleetKey, MemberRecord, SettleRequest, Settlement, Subtree, SubtreeVersion,
-        SuspectUpdate,
+        ExchangeReply, FleetKey, MemberRecord, PackedReply, PackedSubtree, SettleRequest,
+        Settlement, Subtree, SubtreeVersion, SuspectUpdate,
     },
     std::{net::SocketAddr, time::Duration},
     tarpc::{
@@ -17,9 +17,16 @@
     tokio::{net::TcpStream, time::timeout},
 };
 
+/// Time limit for connecting to a node, above the round trip between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Time limit of a control call other than a member exchange, including the connection set-up.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time limit of a call that transfers settings. A transfer that is given up starts from the beginning, so the limit
+/// exceeds the time of a large document over a busy link.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time limit of a full member exchange, which may transfer half a megabyte over a slow link.
 const MEMBER_EXCHANGE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -52,7 +59,33 @@
 }
 
 /// Compares subtree versions with a node. The reply contains the subtrees that are newer at that
-/// node and the names of those that are older there.
+/// node, compressed, and the names of those that are older there.
+///
+/// # Errors
+/// Fails if the node is unreachable or of an earlier build, the call fails or no reply is received in time.
+pub async fn exchange_packed(
+    key: &FleetKey,
+    address: SocketAddr,
+    versions: Vec<SubtreeVersion>,
+) -> Result<PackedReply, ControlError> {
+    let cx = context_with_timeout(SETTINGS_TIMEOUT);
+    call(key, address, SETTINGS_TIMEOUT, async |c| c.exchange_packed(cx, versions).await).await
+}
+
+/// Sends compressed settings subtrees to a node.
+///
+/// # Errors
+/// Fails if the node is unreachable or of an earlier build, the call fails or no reply is received in time.
+pub async fn push_packed(
+    key: &FleetKey,
+    address: SocketAddr,
+    subtrees: Vec<PackedSubtree>,
+) -> Result<(), ControlError> {
+    let cx = context_with_timeout(SETTINGS_TIMEOUT);
+    call(key, address, SETTINGS_TIMEOUT, async |c| c.push_packed(cx, subtrees).await).await
+}
+
+/// Compares subtree versions with a node of an earlier build.
 ///
 /// # Errors
 /// Fails if the node is unreachable, the call fails or no reply is received in time.
@@ -130,7 +163,8 @@
     send: impl AsyncFnOnce(ControlClient) -> Result<T, client::RpcError>,
 ) -> Result<T, ControlError> {
     let connect_and_call = async {
-        let client = connect(key, address).await?;
+        let connected = timeout(CONNECT_TIMEOUT, connect(key, address)).await;
+        let client = connected.map_err(|_e| ControlError::Unreachable)??;
         Ok(send(client).await?)
     };
     timeout(limit, connect_and_call).await.map_err(|_e| ControlError::TimedOut)?
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control_loop.rs
@@ -1,16 +1,21 @@
 //! Task that owns membership and settings; other tasks send it commands through a handle.
 
 use {
-    super::{control_client, gossip_socket::GossipSocket, shared::Shared},
+    super::{
+        control_client::{self, ControlError},
+        gossip_socket::GossipSocket,
+        shared::Shared,
+    },
     crate::{
         config::{ActiveSubtrees, ApplyResult},
         limits::WATCHERS_PER_REGION,
         membership::{Members, MembershipAction, MembershipEvent},
         routing::RoutingTable,
         schema::{
-            ExchangeReply, Health, LoadReport, MemberRecord, Packet, Placement, Subtree,
-            SubtreeVersion, SuspectUpdate,
+            ExchangeReply, Health, LoadReport, MemberRecord, PackedReply, PackedSubtree, Packet,
+            Placement, Subtree, SubtreeVersion, SuspectUpdate,
         },
+        tick::Tick,
     },
     std::{
         collections::HashSet,
@@ -30,6 +35,13 @@
 /// Interval between two steps of the membership protocol, each with a check of the routing table.
 const MEMBERSHIP_TIMER_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time after which another comparison of settings is started beside one that is still running, as with a peer that
+/// froze.
+const COMPARISON_PATIENCE: Duration = Duration::from_millis(700);
+
+/// Minimum time between two reads of the store for settings that peers have not supplied.
+const OVERDUE_READ_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Maximum number of commands that wait for the loop.
 const MAX_QUEUED_COMMANDS: usize = 4_096;
 
@@ -51,8 +63,11 @@
     Packet(SocketAddr, Packet),
     Records(Vec<MemberRecord>),
     Exchange(Vec<SubtreeVersion>, oneshot::Sender<ExchangeReply>),
+    ExchangePacked(Vec<SubtreeVersion>, oneshot::Sender<PackedReply>),
     Apply(Vec<Subtree>, &'static str, oneshot::Sender<()>),
+    ApplyPacked(Vec<PackedSubtree>, oneshot::Sender<()>),
     Subtrees(Vec<Arc<str>>, oneshot::Sender<Vec<Subtree>>),
+    PackedSubtrees(Vec<Arc<str>>, oneshot::Sender<Vec<PackedSubtree>>),
     Version(Arc<str>, oneshot::Sender<u64>),
     Snapshot(oneshot::Sender<ControlSnapshot>),
     Seeds(Vec<SocketAddr>),
@@ -80,6 +95,10 @@
     is_isolated: bool,
     /// Version of the suspected requests that were last queued for the other nodes.
     suspects_version: u64,
+    /// Earliest time of the next read of the store for settings that peers have not supplied.
+    next_overdue_read_at: Tick,
+    /// Start of the last comparison of settings with a peer.
+    compared_at: Tick,
     is_comparing_settings: Arc<AtomicBool>,
 }
 
@@ -116,6 +135,22 @@
         self.request(|reply| Command::Exchange(versions, reply)).await.unwrap_or(empty)
     }
 
+    /// Compares a peer's subtree versions with the local ones; the reply has compressed documents.
+    pub async fn exchange_packed(&self, versions: Vec<SubtreeVersion>) -> PackedReply {
+        let empty = PackedReply { newer: Vec::new(), wanted: Vec::new() };
+        self.request(|reply| Command::ExchangePacked(versions, reply)).await.unwrap_or(empty)
+    }
+
+    /// Puts those compressed subtrees of a peer in force that are newer than the local ones.
+    pub async fn apply_packed(&self, subtrees: Vec<PackedSubtree>) {
+        self.request(|reply| Command::ApplyPacked(subtrees, reply)).await;
+    }
+
+    /// Returns the named subtrees compressed; names without a local subtree are skipped.
+    pub async fn packed_subtrees(&self, names: Vec<Arc<str>>) -> Vec<PackedSubtree> {
+        self.request(|reply| Command::PackedSubtrees(names, reply)).await.unwrap_or_default()
+    }
+
     /// Puts those subtrees in force that are newer than the local ones. The log names `source`.
     pub async fn apply(&self, subtrees: Vec<Subtree>, source: &'static str) {
         self.request(|reply| Command::Apply(subtrees, source, reply)).await;
@@ -166,6 +201,8 @@
             watch_rank: 0,
             is_isolated: false,
             suspects_version: 0,
+            next_overdue_read_at: Tick(0),
+            compared_at: Tick(0),
             is_comparing_settings: Arc::default(),
         };
         (control, handle)
@@ -182,6 +219,8 @@
             tokio::select! {
                 _tick = timer.tick() => {
                     self.publish_suspects();
+                    let age = self.shared.settings_age.since_confirmed(self.shared.now());
+                    self.shared.metrics.settings_age_ms.set(age.as_millis() as i64);
                     self.step(MembershipEvent::Timer);
                     self.rebuild_routing_table();
                     self.update_watch_rank();
@@ -203,15 +242,28 @@
     fn handle(&mut self, command: Command) {
         // Sending a reply fails if the requester no longer waits; the reply is dropped.
         match command {
-            Command::Packet(from, packet) => self.step(MembershipEvent::Packet(from, packet)),
+            Command::Packet(from, packet) => {
+                self.record_settings_digest(packet.settings);
+                self.step(MembershipEvent::Packet(from, packet));
+            }
             Command::Records(records) => self.step(MembershipEvent::Records(records)),
             Command::Exchange(versions, reply) => {
                 let _closed = reply.send(self.active_subtrees.exchange(&versions));
             }
+            Command::ExchangePacked(versions, reply) => {
+                let _closed = reply.send(self.active_subtrees.exchange_packed(&versions));
+            }
             Command::Apply(subtrees, source, reply) => {
                 self.apply(subtrees, source);
                 let _closed = reply.send(());
             }
+            Command::ApplyPacked(subtrees, reply) => {
+                self.apply_packed(subtrees);
+                let _closed = reply.send(());
+            }
+            Command::PackedSubtrees(names, reply) => {
+                let _closed = reply.send(self.active_subtrees.get_many_packed(&names));
+            }
             Command::Subtrees(names, reply) => {
                 let _closed = reply.send(self.active_subtrees.get_many(&names));
             }
@@ -337,10 +389,35 @@
         });
     }
 
-    fn compare_settings(&self, from: SocketAddr) {
-        if self.is_comparing_settings.swap(true, Ordering::SeqCst) {
+    /// Records whether a peer holds the same settings, and requests a read of the store if what differs has not
+    /// arrived in time.
+    fn record_settings_digest(&mut self, digest: u64) {
+        let (age, now) = (&self.shared.settings_age, self.shared.now());
+        if digest == self.members.settings_digest() {
+            age.confirm(now);
+        } else {
+            age.record_difference(now);
+        }
+        // The identity is random, so it spreads the nodes over the range.
+        let spread = self.shared.node as f64 / u64::MAX as f64;
+        if age.is_overdue(now, spread) && now >= self.next_overdue_read_at {
+            self.next_overdue_read_at = now + OVERDUE_READ_INTERVAL;
+            log::info!(
+                target: "settings", age_ms = age.since_confirmed(now).as_millis() as u64;
+                "peers have not supplied newer settings in time, reading the store"
+            );
+            self.shared.settings_overdue.notify_one();
+        }
+    }
+
+    fn compare_settings(&mut self, from: SocketAddr) {
+        let now = self.shared.now();
+        let is_recent = now.since(self.compared_at) < COMPARISON_PATIENCE;
+        if is_recent && self.is_comparing_settings.load(Ordering::SeqCst) {
             return;
         }
+        self.compared_at = now;
+        self.is_comparing_settings.store(true, Ordering::SeqCst);
         let (shared, handle) = (Arc::clone(&self.shared), self.handle.clone());
         let is_comparing_settings = Arc::clone(&self.is_comparing_settings);
         let versions = self.active_subtrees.versions();
@@ -353,21 +430,54 @@
     fn apply(&mut self, subtrees: Vec<Subtree>, source: &'static str) {
         let mut has_newer = false;
         for subtree in subtrees {
-            let previous = self.active_subtrees.version(&subtree.name);
             let (name, version) = (Arc::clone(&subtree.name), subtree.version);
+            let previous = self.active_subtrees.version(&name);
             let applied = self.active_subtrees.apply(subtree);
-            invariant!(
-                self.active_subtrees.version(&name) >= previous,
-                "settings_version_never_falls"
-            );
-            if applied == ApplyResult::Newer {
-                log::info!(
-                    target: "settings", subtree = &*name, version, replaced = previous, source;
-                    "settings in force"
-                );
-                has_newer = true;
+            has_newer |= self.record_applied(&name, version, previous, applied, source);
+        }
+        self.put_in_force(has_newer);
+    }
+
+    fn apply_packed(&mut self, subtrees: Vec<PackedSubtree>) {
+        let mut has_newer = false;
+        for packed in subtrees {
+            let (name, version) = (Arc::clone(&packed.name), packed.version);
+            let previous = self.active_subtrees.version(&name);
+            match self.active_subtrees.apply_packed(packed) {
+                Ok(applied) => {
+                    has_newer |= self.record_applied(&name, version, previous, applied, "peer");
+                }
+                Err(e) => {
+                    log::warn!(target: "settings", subtree = &*name, version; "skipped: {e}");
+                }
             }
         }
+        self.put_in_force(has_newer);
+    }
+
+    /// Logs the result of applying a subtree; returns whether it is in force now and was not before.
+    fn record_applied(
+        &self,
+        name: &Arc<str>,
+        version: u64,
+        previous: u64,
+        applied: ApplyResult,
+        source: &'static str,
+    ) -> bool {
+        invariant!(self.active_subtrees.version(name) >= previous, "settings_version_never_falls");
+        let is_newer = applied == ApplyResult::Newer;
+        if is_newer {
+            let age = self.shared.settings_age.since_confirmed(self.shared.now());
+            log::info!(
+                target: "settings", subtree = &**name, version, replaced = previous, source,
+                age_ms = age.as_millis() as u64;
+                "settings in force"
+            );
+        }
+        is_newer
+    }
+
+    fn put_in_force(&mut self, has_newer: bool) {
         if has_newer {
             self.shared.apply_settings(self.active_subtrees.compile());
             self.members.set_settings_digest(self.active_subtrees.digest());
@@ -398,11 +508,49 @@
     versions: Vec<SubtreeVersion>,
 ) {
     let key = &shared.settings.fleet_key;
-    let Ok(reply) = control_client::exchange(key, from, versions).await else {
+    let reply = match control_client::exchange_packed(key, from, versions.clone()).await {
+        Ok(reply) => reply,
+        Err(ControlError::Failed(e)) => {
+            log::debug!(target: "settings", "{from} doesn't exchange compressed settings: {e}");
+            compare_uncompressed(shared, handle, from, versions).await;
+            return;
+        }
+        Err(e) => {
+            log_failed_comparison(from, &e);
+            return;
+        }
+    };
+    let received_newer = !reply.newer.is_empty();
+    handle.apply_packed(reply.newer).await;
+    shared.settings_age.resolve(shared.now());
+    if received_newer {
+        shared.has_settings.store(true, Ordering::Relaxed);
+    }
+    if reply.wanted.is_empty() {
         return;
+    }
+    let subtrees = handle.packed_subtrees(reply.wanted).await;
+    // If the push is lost, the next comparison finds the difference again.
+    if let Err(e) = control_client::push_packed(key, from, subtrees).await {
+        log_failed_comparison(from, &e);
+    }
+}
+
+/// Compares settings with a node of an earlier build, which sends documents as they are.
+async fn compare_uncompressed(
+    shared: &Shared,
+    handle: &ControlHandle,
+    from: SocketAddr,
+    versions: Vec<SubtreeVersion>,
+) {
+    let key = &shared.settings.fleet_key;
+    let reply = match control_client::exchange(key, from, versions).await {
+        Ok(reply) => reply,
+        Err(e) => return log_failed_comparison(from, &e),
     };
     let received_newer = !reply.newer.is_empty();
     handle.apply(reply.newer, "peer").await;
+    shared.settings_age.resolve(shared.now());
     if received_newer {
         shared.has_settings.store(true, Ordering::Relaxed);
     }
@@ -410,8 +558,17 @@
         return;
     }
     let subtrees = handle.subtrees(reply.wanted).await;
-    // If the push is lost, the next comparison finds the difference again.
-    let _ignored = control_client::push(key, from, subtrees).await;
+    if let Err(e) = control_client::push(key, from, subtrees).await {
+        log_failed_comparison(from, &e);
+    }
+}
+
+fn log_failed_comparison(from: SocketAddr, error: &ControlError) {
+    let from = from.to_string();
+    log::info!(
+        target: "settings", from = from.as_str(), error = error.to_string().as_str();
+        "settings not compared with a peer"
+    );
 }
 
 /// Returns the number of alive members of the node's region that precede it in the order of store
--- a/pistachiolane/src/node/control_service.rs
+++ b/pistachiolane/src/node/control_service.rs
@@ -6,8 +6,8 @@
         postcard_codec::PostcardCodec, shared::Shared,
     },
     crate::schema::{
-        ExchangeReply, MemberRecord, SettleRequest, Settlement, Subtree, SubtreeVersion,
-        SuspectUpdate,
+        ExchangeReply, MemberRecord, PackedReply, PackedSubtree, SettleRequest, Settlement,
+        Subtree, SubtreeVersion, SuspectUpdate,
     },
     futures::StreamExt,
     std::{sync::Arc, time::Duration},
@@ -42,6 +42,10 @@
     async fn has_version(subtree: SubtreeVersion) -> bool;
     /// Retires a connection and returns the outcome of an attempt that it carried.
     async fn settle(req: SettleRequest) -> Settlement;
+    /// Returns the same as `exchange` with compressed documents.
+    async fn exchange_packed(versions: Vec<SubtreeVersion>) -> PackedReply;
+    /// Does the same as `push` with compressed documents.
+    async fn push_packed(subtrees: Vec<PackedSubtree>) -> ();
     /// Returns what the node knows of suspected requests.
     async fn suspects() -> Vec<SuspectUpdate>;
 }
@@ -125,6 +129,14 @@
         settlement
     }
 
+    async fn exchange_packed(self, _cx: Context, versions: Vec<SubtreeVersion>) -> PackedReply {
+        self.control.exchange_packed(versions).await
+    }
+
+    async fn push_packed(self, _cx: Context, subtrees: Vec<PackedSubtree>) {
+        self.control.apply_packed(subtrees).await;
+    }
+
     async fn suspects(self, _cx: Context) -> Vec<SuspectUpdate> {
         self.shared.quarantine.updates(self.shared.now())
     }
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry.rs
@@ -255,7 +255,8 @@
                 let why = rejection.to_string();
                 log::info!(
                     target: "entry", request = id, reason, why = why.as_str(),
-                    settings = shared.settings_tree.load().routes_version();
+                    settings = shared.settings_tree.load().routes_version(),
+                    settings_age_ms = shared.settings_age.since_confirmed(shared.now()).as_millis() as u64;
                     "request rejected, not run"
                 );
                 rejection.response(shared.dialect.fractional_retry_after)
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -9,7 +9,7 @@
     },
     crate::{
         attempt::Admission,
-        config::SettingsTree,
+        config::{SettingsAge, SettingsTree},
         limits::TokenBucket,
         metrics::Metrics,
         recovery::Quarantine,
@@ -101,6 +101,10 @@
     /// Whether the node has read the settings from the store or received newer ones from a peer
     /// since its start.
     pub has_settings: AtomicBool,
+    /// Age of the settings in force.
+    pub settings_age: SettingsAge,
+    /// Notified when the node should read the store, because its peers have not supplied newer settings in time.
+    pub settings_overdue: Notify,
     /// Whether the node has joined the fleet.
     pub has_joined: AtomicBool,
     /// Number of alive members of the region that precede the node in the order of store watchers.
@@ -150,6 +154,8 @@
             tunables,
             metrics: Metrics::new(),
             has_settings: AtomicBool::new(false),
+            settings_age: SettingsAge::default(),
+            settings_overdue: Notify::new(),
             has_joined: AtomicBool::new(false),
             watch_rank: AtomicU64::new(0),
             needs_routes: dependencies.needs_routes,
--- a/pistachiolane/src/node/store_task.rs
+++ b/pistachiolane/src/node/store_task.rs
@@ -146,11 +146,15 @@
     loop {
         let is_watcher = is_watcher(&shared, &watch);
         let has_settings = position.is_some() || shared.is_ready();
+        let mut is_overdue = false;
         if has_settings && !is_watcher {
-            sleep(IDLE_CHECK_INTERVAL).await;
-            continue;
+            is_overdue = wait_until_overdue(&shared, &watch).await;
+            if !is_overdue {
+                continue;
+            }
         }
         let listing = match position {
+            _ if is_overdue => shared.store.list(&watch.kind, Freshness::Current).await,
             None => shared.store.list(&watch.kind, Freshness::Current).await,
             Some(since) => shared.store.watch(&watch.kind, since).await,
         };
@@ -168,6 +172,9 @@
                     control.apply(subtrees, "store").await;
                 }
                 shared.has_settings.store(true, Ordering::Relaxed);
+                if watch.is_urgent {
+                    shared.settings_age.resolve(shared.now());
+                }
             }
             Err(StoreError::RevisionTooOld) => {
                 log::info!(
@@ -188,6 +195,14 @@
     }
 }
 
+/// Waits for an interval, or until a read of the store is requested; returns whether it was.
+async fn wait_until_overdue(shared: &Shared, watch: &SettingsWatch) -> bool {
+    tokio::select! {
+        () = sleep(IDLE_CHECK_INTERVAL) => false,
+        () = shared.settings_overdue.notified(), if watch.is_urgent => true,
+    }
+}
+
 fn is_watcher(shared: &Shared, watch: &SettingsWatch) -> bool {
     shared.watch_rank.load(Ordering::Relaxed) < watch.watchers_per_region
 }
--- a/pistachiolane/src/schema/mod.rs
+++ b/pistachiolane/src/schema/mod.rs
@@ -12,9 +12,9 @@
 
 pub use {
     generated_messages::{
-        Acknowledgement, AttemptHeader, AttemptId, ExchangeReply, Health, MemberRecord, Packet,
-        PacketBody, PingRequest, Placement, SettleRequest, Settlement, Subtree, SubtreeVersion,
-        SuspectUpdate,
+        Acknowledgement, AttemptHeader, AttemptId, ExchangeReply, Health, MemberRecord,
+        PackedReply, PackedSubtree, Packet, PacketBody, PingRequest, Placement, SettleRequest,
+        Settlement, Subtree, SubtreeVersion, SuspectUpdate,
     },
     generated_settings::{
         Announcement, CallerLimits, RegionSettings, RootDocument, RouteSettings, RouteTarget,
