--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate_server.rs
@@ -4,6 +4,7 @@
     super::{
         accept::accept,
         body::{Body, GuardedBody, full, stream},
+        crash_detector::CrashDetector,
         headers,
         queue_task::{QueueDecision, QueueItem, SlotGuard},
         responses,
@@ -15,7 +16,6 @@
     crate::{
         attempt::{AttemptDecision, Ticket},
         limits::{QueueKey, RefusalReason, StartDeadlines},
-        membership::is_same_incarnation,
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         schema::{Announcement, AttemptHeader, FleetKey, WireError},
@@ -42,7 +42,7 @@
     },
     tokio::{
         net::{TcpListener, TcpStream},
-        sync::{Mutex, oneshot},
+        sync::oneshot,
         time::{error::Elapsed, timeout},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -70,13 +70,6 @@
 /// The upstream itself responds at the deadline, and an entry cancels its attempt when the call ends.
 const UPSTREAM_DEADLINE_MARGIN: Duration = Duration::from_millis(400);
 
-/// Time limit for connecting to an upstream to check whether it has ended; it is on the same host.
-const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-
-/// Time for which a check that found the upstream running holds: requests that lost their connections together share
-/// one.
-const CRASH_CHECK_VALIDITY: Duration = Duration::from_millis(20);
-
 /// Depth of nested calls that is assumed for a request without a depth header.
 const DEFAULT_DEPTH: u64 = 0;
 
@@ -90,16 +83,7 @@
     connections: HashMap<(u64, u64), CancellationToken>,
     open_connections: TaskTracker,
     closing: CancellationToken,
-    /// Locked only after a lost connection.
-    last_crash_check: Mutex<Option<CrashCheck>>,
-}
-
-/// Result of the last check whether an upstream that lost a connection has ended.
-#[derive(Debug)]
-struct CrashCheck {
-    incarnation: u64,
-    at: Tick,
-    has_crashed: bool,
+    crash_detector: CrashDetector,
 }
 
 /// One incarnation of the upstream, with the connections to it.
@@ -168,7 +152,7 @@
             connections: HashMap::new(),
             open_connections: TaskTracker::new(),
             closing: CancellationToken::new(),
-            last_crash_check: Mutex::const_new(None),
+            crash_detector: CrashDetector::default(),
         })
     }
 
@@ -383,7 +367,7 @@
             }
             Ok(Err(e)) => {
                 gate.observe(shared.now(), elapsed, false);
-                let has_crashed = self.has_crashed(&announced, &pool).await;
+                let has_crashed = self.crash_detector.has_crashed(shared, &announced, &pool).await;
                 match fingerprint.filter(|_| has_crashed) {
                     Some(fingerprint) => self.upstream_crashed(attempt, fingerprint, &announced),
                     None => self.outcome_unknown(attempt, &e.to_string()),
@@ -543,41 +527,6 @@
         self.with_report(res)
     }
 
-    /// Whether an upstream that lost a connection has ended: nothing listens on its address any more.
-    async fn has_crashed(&self, announced: &Announcement, pool: &UpstreamPool) -> bool {
-        let incarnation = Fingerprint::of_incarnation(announced);
-        let mut last = self.last_crash_check.lock().await;
-        let is_valid = |check: &CrashCheck| {
-            let age = self.shared.now().since(check.at);
-            check.incarnation == incarnation && (check.has_crashed || age < CRASH_CHECK_VALIDITY)
-        };
-        if let Some(check) = last.as_ref().filter(|check| is_valid(check)) {
-            return check.has_crashed;
-        }
-        let check = pool.has_ended();
-        let has_crashed = timeout(CRASH_CHECK_TIMEOUT, check).await.unwrap_or(false);
-        *last = Some(CrashCheck { incarnation, at: self.shared.now(), has_crashed });
-        if has_crashed {
-            self.remove_crashed(announced);
-        }
-        has_crashed
-    }
-
-    /// Closes the gate until the next announcement, unless another incarnation is already announced.
-    fn remove_crashed(&self, announced: &Announcement) {
-        let shared = &self.shared;
-        shared.metrics.upstream_crashes.inc();
-        log::warn!(
-            target: "upstream", instance = announced.instance.as_str(),
-            service = &*announced.service, running = shared.admission.gate.running();
-            "upstream crashed while it ran requests"
-        );
-        let current = shared.upstream.load();
-        if current.as_ref().is_some_and(|current| is_same_incarnation(current, announced)) {
-            shared.admission.remove_upstream();
-        }
-    }
-
     fn upstream_crashed(
         &self,
         attempt: &AttemptHeader,
