A check for an upstream's end waits for its listener to close

Cause by reading, not by a trace: connections of a process that ends may break before its listener closes, and the check right after the break still found a listener.

--- a/pistachiolane/src/node/crash_detector.rs
+++ b/pistachiolane/src/node/crash_detector.rs
@@ -10,7 +10,7 @@
 };
 
 /// Time limit of a check; the upstream is on the same host.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time for which a check that found the upstream running holds: requests that lost their connections together share
 /// one.
--- a/pistachiolane/src/node/upstream_pool.rs
+++ b/pistachiolane/src/node/upstream_pool.rs
@@ -22,7 +22,7 @@
     tokio::{
         net::TcpStream,
         task::AbortHandle,
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -38,6 +38,9 @@
 /// only costs a millisecond.
 const MAX_IDLE_TIME_UNREPEATABLE: Duration = Duration::from_millis(700);
 
+/// Time for which a new connection must stay open to show that the upstream has not ended.
+const END_CONFIRMATION: Duration = Duration::from_millis(30);
+
 /// Number by which the idle timeout that the upstream announces is divided to get the maximum idle
 /// time.
 const IDLE_TIMEOUT_DIVISOR: u32 = 2;
@@ -174,18 +177,25 @@
 
     /// Whether the upstream has ended: nothing listens on its address any more. Otherwise, the connection that showed
     /// this is kept for the next request.
+    ///
+    /// A process that ends closes its connections and its listener one after the other, so a connection counts only if it
+    /// stays open for a moment.
     pub async fn has_ended(&self) -> bool {
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
-        match connecting {
-            Ok(Err(e)) => e.kind() == io::ErrorKind::ConnectionRefused,
-            Ok(Ok(socket)) => {
-                // A listener that breaks the connection off is still there.
-                if let Ok(connection) = Self::open(socket).await {
-                    self.return_connection(connection);
-                }
-                false
+        loop {
+            let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
+            let socket = match connecting {
+                Ok(Ok(socket)) => socket,
+                Ok(Err(e)) => return e.kind() == io::ErrorKind::ConnectionRefused,
+                Err(_) => return false,
+            };
+            let Ok(connection) = Self::open(socket).await else {
+                return false;
+            };
+            sleep(END_CONFIRMATION).await;
+            if !connection.sender.is_closed() {
+                self.return_connection(connection);
+                return false;
             }
-            Err(_) => false,
         }
     }
 
