Split the I/O layer into entry, gate, control and admin

The I/O layer had 36 files side by side, so parts that are built at the same time would touch the same folder. Files move to the folder of what flows through them; paths in imports follow, entry.rs and admin.rs are renamed to entry_server.rs and admin_server.rs. No change of behaviour.

--- a/pistachiolane/src/node/admin.rs
+++ b/pistachiolane/src/node/admin/admin_server.rs
@@ -2,15 +2,17 @@
 //! dumps.
 
 use {
-    super::{
+    crate::node::{
         accept::accept,
+        admin::{
+            operator::{ChangeReport, ChangeRequest, change, document},
+            status,
+        },
         body::Body,
-        control_loop::ControlHandle,
+        control::control_loop::ControlHandle,
         node_handle::NodeHandle,
-        operator::{ChangeReport, ChangeRequest, change, document},
         responses,
         shared::Shared,
-        status,
     },
     crate::{
         config::{check_document, get_path},
--- a/pistachiolane/src/node/operator.rs
+++ b/pistachiolane/src/node/admin/operator.rs
@@ -1,11 +1,13 @@
 //! Changes of settings that operators request at this node.
 
 use {
-    super::{
-        control_client,
-        control_loop::ControlHandle,
+    crate::node::{
+        control::{
+            control_client,
+            control_loop::ControlHandle,
+            store_task::{SETTINGS_KIND, parse_subtree, stored_value},
+        },
         shared::Shared,
-        store_task::{SETTINGS_KIND, parse_subtree, stored_value},
     },
     crate::{
         config::{
--- a/pistachiolane/src/node/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -1,7 +1,7 @@
 //! Reports on a node: a status that fits on one screen, and a dump of its whole state.
 
 use {
-    super::{control_loop::ControlHandle, shared::Shared},
+    crate::node::{control::control_loop::ControlHandle, shared::Shared},
     crate::{
         config::ROOT,
         invariants,
--- a/pistachiolane/src/node/control_client.rs
+++ b/pistachiolane/src/node/control/control_client.rs
@@ -1,7 +1,7 @@
 //! Client for control calls to other nodes.
 
 use {
-    super::{
+    crate::node::control::{
         control_service::{ControlClient, MAX_FRAME_BYTES},
         postcard_codec::PostcardCodec,
     },
--- a/pistachiolane/src/node/control_loop.rs
+++ b/pistachiolane/src/node/control/control_loop.rs
@@ -1,8 +1,10 @@
 //! Task that owns membership and settings; other tasks send it commands through a handle.
 
 use {
-    super::{
-        control_client, gossip_socket::GossipSocket, settings_comparison::compare_settings,
+    crate::node::{
+        control::{
+            control_client, gossip_socket::GossipSocket, settings_comparison::compare_settings,
+        },
         shared::Shared,
     },
     crate::{
--- a/pistachiolane/src/node/control_service.rs
+++ b/pistachiolane/src/node/control/control_service.rs
@@ -1,9 +1,11 @@
 //! Server for control calls between nodes, with tarpc over TCP.
 
 use {
-    super::{
-        accept::accept, control_loop::ControlHandle, gate_server::GateServer,
-        postcard_codec::PostcardCodec, shared::Shared,
+    crate::node::{
+        accept::accept,
+        control::{control_loop::ControlHandle, postcard_codec::PostcardCodec},
+        gate::gate_server::GateServer,
+        shared::Shared,
     },
     crate::schema::{
         ExchangeReply, MemberRecord, PackedReply, PackedSubtree, SettleRequest, Settlement,
--- a/pistachiolane/src/node/gossip_socket.rs
+++ b/pistachiolane/src/node/control/gossip_socket.rs
@@ -1,7 +1,7 @@
 //! UDP socket for gossip packets.
 
 use {
-    super::{control_loop::ControlHandle, shared::Shared},
+    crate::node::{control::control_loop::ControlHandle, shared::Shared},
     crate::schema::{MAX_PACKET_BYTES, Packet},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::UdpSocket,
--- a/pistachiolane/src/node/settings_comparison.rs
+++ b/pistachiolane/src/node/control/settings_comparison.rs
@@ -1,9 +1,11 @@
 //! Comparison of the settings in force with those of a peer.
 
 use {
-    super::{
-        control_client::{self, ControlError},
-        control_loop::ControlHandle,
+    crate::node::{
+        control::{
+            control_client::{self, ControlError},
+            control_loop::ControlHandle,
+        },
         shared::Shared,
     },
     crate::schema::SubtreeVersion,
--- a/pistachiolane/src/node/store_task.rs
+++ b/pistachiolane/src/node/control/store_task.rs
@@ -2,7 +2,9 @@
 //! find this one.
 
 use {
-    super::{control_loop::ControlHandle, integration::SettingsWatch, shared::Shared},
+    crate::node::{
+        control::control_loop::ControlHandle, integration::SettingsWatch, shared::Shared,
+    },
     crate::{
         config::{WriteResult, lost_subtrees},
         limits::WATCHERS_PER_REGION,
--- a/pistachiolane/src/node/dialect.rs
+++ b/pistachiolane/src/node/dialect.rs
@@ -45,7 +45,7 @@
     pub fn native() -> Self {
         Self {
             request_id: None,
-            budget_ms: super::headers::BUDGET_MS,
+            budget_ms: crate::node::headers::BUDGET_MS,
             expected_instance: None,
             caller_service: None,
             not_run: None,
--- a/pistachiolane/src/node/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -1,12 +1,12 @@
 //! Drives one call: performs the actions of its state machine and feeds the results back as events.
 
 use {
-    super::{
+    crate::node::{
         body::{Body, full, stream},
-        control_client,
-        gate_server::GateServer,
+        control::control_client,
+        entry::hop::HopError,
+        gate::gate_server::GateServer,
         headers,
-        hop::HopError,
         shared::Shared,
     },
     crate::{
--- a/pistachiolane/src/node/entry.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -1,16 +1,17 @@
 //! The entry side of a node: accepts callers' requests and returns responses to them.
 
 use {
-    super::{
+    crate::node::{
         accept::accept,
-        attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
         body::{Body, PrefixedBody, TimedBody, stream},
-        caller_socket::CallerSocket,
-        headers,
-        hop::probe_request,
-        pipeline::{EarlyCall, Pipeline},
-        resolved_route::ResolvedRoute,
-        responses,
+        entry::{
+            attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
+            caller_socket::CallerSocket,
+            hop::probe_request,
+            pipeline::{EarlyCall, Pipeline},
+            resolved_route::ResolvedRoute,
+        },
+        headers, responses,
         shared::Shared,
     },
     crate::{
@@ -460,7 +461,7 @@
 }
 
 /// Returns the host that the request names, in lower case and without a port.
-pub(super) fn host_name(head: &Parts) -> String {
+pub(in crate::node) fn host_name(head: &Parts) -> String {
     let host = head.uri.host().or_else(|| head.headers.get(header::HOST)?.to_str().ok());
     let name = host.and_then(|h| h.split(':').next()).unwrap_or("");
     name.to_ascii_lowercase()
--- a/pistachiolane/src/node/hop.rs
+++ b/pistachiolane/src/node/entry/hop.rs
@@ -1,7 +1,7 @@
 //! HTTP/2 connections from an entry to other nodes' gates.
 
 use {
-    super::{
+    crate::node::{
         body::{Body, full},
         socket_options::configure,
     },
--- /dev/null
+++ b/pistachiolane/src/node/entry/mod.rs
@@ -0,0 +1,8 @@
+//! The entry side of a node: callers' connections, their calls, and the hops to gates.
+
+pub(in crate::node) mod attempt_driver;
+pub(in crate::node) mod caller_socket;
+pub(in crate::node) mod entry_server;
+pub(in crate::node) mod hop;
+pub(in crate::node) mod pipeline;
+pub(in crate::node) mod resolved_route;
--- a/pistachiolane/src/node/pipeline.rs
+++ b/pistachiolane/src/node/entry/pipeline.rs
@@ -2,9 +2,9 @@
 //! still served.
 
 use {
-    super::{
+    crate::node::{
         body::Body,
-        caller_socket::{RequestHead, RequestLookahead},
+        entry::caller_socket::{RequestHead, RequestLookahead},
     },
     hyper::{Request, Response, body::Incoming},
     std::{
--- a/pistachiolane/src/node/resolved_route.rs
+++ b/pistachiolane/src/node/entry/resolved_route.rs
@@ -2,8 +2,8 @@
 //! host names.
 
 use {
-    super::{entry::host_name, shared::Shared},
     crate::config::{RequestPolicy, Route, SettingsTree},
+    crate::node::{entry::entry_server::host_name, shared::Shared},
     hyper::http::request::Parts,
     rand::RngExt,
     std::{
@@ -19,7 +19,7 @@
 
 /// Route of one request: the service that runs it, and the limits on its time, size and attempts.
 #[derive(Clone, Debug)]
-pub(super) struct ResolvedRoute {
+pub(in crate::node) struct ResolvedRoute {
     /// Name of the route; without routes, the name of the service.
     pub name: Arc<str>,
     /// Service that runs the request.
--- a/pistachiolane/src/node/announcements.rs
+++ b/pistachiolane/src/node/gate/announcements.rs
@@ -1,14 +1,16 @@
 //! Processes announcements of the local upstream.
 
 use {
-    super::{
-        control_loop::ControlHandle,
-        gate_server::GateServer,
+    crate::node::{
+        control::control_loop::ControlHandle,
+        gate::{
+            gate_server::GateServer,
+            upstream_statements::{
+                StatementSource, apply_statements, read_first_statements, states_leaving,
+            },
+        },
         node_handle::UpstreamEventRequest,
         shared::Shared,
-        upstream_statements::{
-            StatementSource, apply_statements, read_first_statements, states_leaving,
-        },
     },
     crate::{
         membership::{LocalUpstream, UpstreamChange, UpstreamEvent, is_same_incarnation},
--- a/pistachiolane/src/node/crash_detector.rs
+++ b/pistachiolane/src/node/gate/crash_detector.rs
@@ -1,7 +1,7 @@
 //! Tells an upstream that ended from one that only lost a connection.
 
 use {
-    super::{shared::Shared, upstream_pool::UpstreamPool},
+    crate::node::{gate::upstream_pool::UpstreamPool, shared::Shared},
     crate::{
         membership::is_same_incarnation, recovery::Fingerprint, schema::Announcement, tick::Tick,
     },
--- a/pistachiolane/src/node/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -1,17 +1,18 @@
 //! Gate of a node: admits attempts and sends them to the local upstream.
 
 use {
-    super::{
+    crate::node::{
         accept::accept,
         body::{Body, GuardedBody, full, stream},
-        crash_detector::CrashDetector,
-        headers,
-        queue_task::{QueueDecision, QueueItem, SlotGuard},
-        responses,
+        gate::{
+            crash_detector::CrashDetector,
+            queue_task::{QueueDecision, QueueItem, SlotGuard},
+            upstream_pool::{UpstreamConnection, UpstreamError, UpstreamPool},
+            upstream_statements::{StatementSource, apply_statements},
+        },
+        headers, responses,
         shared::Shared,
         socket_options::configure,
-        upstream_pool::{UpstreamConnection, UpstreamError, UpstreamPool},
-        upstream_statements::{StatementSource, apply_statements},
     },
     crate::{
         attempt::{AttemptDecision, Ticket},
--- a/pistachiolane/src/node/load_probe.rs
+++ b/pistachiolane/src/node/gate/load_probe.rs
@@ -1,12 +1,14 @@
 //! Requests to the local upstream for its current load, when no response has shown it recently.
 
 use {
-    super::{
+    crate::node::{
         body::full,
-        gate_server::GateServer,
+        gate::{
+            gate_server::GateServer,
+            upstream_pool::UpstreamPool,
+            upstream_statements::{StatementSource, apply_statements},
+        },
         shared::Shared,
-        upstream_pool::UpstreamPool,
-        upstream_statements::{StatementSource, apply_statements},
     },
     crate::schema::Announcement,
     hyper::{HeaderMap, Request, header},
@@ -79,7 +81,7 @@
 }
 
 /// Returns the path on which an upstream shows its state, and the connections to it.
-pub(super) fn probe_target(
+pub(in crate::node) fn probe_target(
     shared: &Shared,
     gate: &GateServer,
     announced: &Announcement,
@@ -91,7 +93,7 @@
 
 /// Returns the headers that the upstream `announced` sends on its health path; `None` if there is no whole response
 /// or another instance listens on the address.
-pub(super) async fn probe(
+pub(in crate::node) async fn probe(
     shared: &Shared,
     path: &str,
     pool: &UpstreamPool,
--- a/pistachiolane/src/node/queue_task.rs
+++ b/pistachiolane/src/node/gate/queue_task.rs
@@ -1,8 +1,8 @@
 //! Task that owns a gate's wait queue.
 
 use {
-    super::shared::Shared,
     crate::limits::{Dequeued, QueueKey, RefusalReason, StartDeadlines, WaitQueue},
+    crate::node::shared::Shared,
     std::sync::Arc,
     tokio::{
         sync::{Notify, mpsc, oneshot},
--- a/pistachiolane/src/node/upstream_pool.rs
+++ b/pistachiolane/src/node/gate/upstream_pool.rs
@@ -5,7 +5,7 @@
 //! response to a later request.
 
 use {
-    super::{body::Body, socket_options::configure},
+    crate::node::{body::Body, socket_options::configure},
     arc_swap::ArcSwapOption,
     http_body_util::{BodyExt, Limited},
     hyper::{
--- a/pistachiolane/src/node/upstream_statements.rs
+++ b/pistachiolane/src/node/gate/upstream_statements.rs
@@ -2,10 +2,12 @@
 //! is leaving.
 
 use {
-    super::{
+    crate::node::{
         dialect::HeaderDialect,
-        gate_server::GateServer,
-        load_probe::{probe, probe_target},
+        gate::{
+            gate_server::GateServer,
+            load_probe::{probe, probe_target},
+        },
         shared::Shared,
     },
     crate::{membership::is_same_incarnation, schema::Announcement},
--- a/pistachiolane/src/node/integration.rs
+++ b/pistachiolane/src/node/integration.rs
@@ -1,7 +1,7 @@
 //! Dependencies of a node that an adapter supplies.
 
 use {
-    super::{HeaderDialect, NodeHandle},
+    crate::node::{HeaderDialect, NodeHandle},
     crate::{
         schema::Subtree,
         store::{Object, StoreAdapter},
--- a/pistachiolane/src/node/node_handle.rs
+++ b/pistachiolane/src/node/node_handle.rs
@@ -1,20 +1,20 @@
 //! Interface of a node for other code in the same process.
 
 use {
-    super::shared::Shared,
     crate::membership::UpstreamEvent,
+    crate::node::shared::Shared,
     std::sync::Arc,
     tokio::sync::{mpsc, oneshot},
 };
 
 /// Event of the local upstream, with the channel on which its application is reported.
-pub(super) type UpstreamEventRequest = (UpstreamEvent, oneshot::Sender<()>);
+pub(in crate::node) type UpstreamEventRequest = (UpstreamEvent, oneshot::Sender<()>);
 
 /// Handle to a running node.
 #[derive(Clone, Debug)]
 pub struct NodeHandle {
-    pub(super) shared: Arc<Shared>,
-    pub(super) upstream_events: mpsc::Sender<UpstreamEventRequest>,
+    pub(in crate::node) shared: Arc<Shared>,
+    pub(in crate::node) upstream_events: mpsc::Sender<UpstreamEventRequest>,
 }
 
 impl NodeHandle {
--- a/pistachiolane/src/node/responses.rs
+++ b/pistachiolane/src/node/responses.rs
@@ -1,7 +1,7 @@
 //! Responses that a node generates itself.
 
 use {
-    super::{
+    crate::node::{
         body::{Body, full},
         headers,
     },
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -1,22 +1,23 @@
 //! Start and graceful shutdown of a node.
 
 use {
-    super::{
-        admin::Admin,
-        announcements::run_announcements,
-        attempt_driver::AttemptDriver,
-        control_loop::{ControlHandle, ControlLoop},
-        control_service::ControlServer,
-        entry::Entry,
+    crate::node::{
+        admin::admin_server::Admin,
+        control::{
+            control_loop::{ControlHandle, ControlLoop},
+            control_service::ControlServer,
+            gossip_socket::GossipSocket,
+            store_task::{maintain_member_registrations, native_settings_watch, watch_settings},
+        },
+        entry::{attempt_driver::AttemptDriver, entry_server::Entry},
         error::NodeError,
-        gate_server::GateServer,
-        gossip_socket::GossipSocket,
+        gate::{
+            announcements::run_announcements, gate_server::GateServer, load_probe::run_load_probes,
+            queue_task::run_queue,
+        },
         integration::Integration,
-        load_probe::run_load_probes,
         node_handle::NodeHandle,
-        queue_task::run_queue,
         shared::{NodeDependencies, Shared},
-        store_task::{maintain_member_registrations, native_settings_watch, watch_settings},
     },
     crate::{
         schema::{Health, Placement},
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -1,11 +1,13 @@
 //! State that the tasks of a node share: atomics, and tables that are replaced as a whole.
 
 use {
-    super::{
+    crate::node::{
         dialect::HeaderDialect,
-        hop::Hops,
-        load_probe::LoadProbe,
-        queue_task::{QueueHandle, QueueItem},
+        entry::hop::Hops,
+        gate::{
+            load_probe::LoadProbe,
+            queue_task::{QueueHandle, QueueItem},
+        },
     },
     crate::{
         attempt::Admission,
--- a/pistachiolane/src/node/socket_options.rs
+++ b/pistachiolane/src/node/socket_options.rs
@@ -20,7 +20,7 @@
 ///
 /// # Errors
 /// Fails if the peer has already closed the connection.
-pub(super) fn configure(socket: &TcpStream) -> io::Result<()> {
+pub(in crate::node) fn configure(socket: &TcpStream) -> io::Result<()> {
     socket.set_nodelay(true)?;
     let socket = SockRef::from(socket);
     socket.set_tcp_user_timeout(Some(DEAD_CONNECTION_TIMEOUT))?;
