--- a/lab/src/faults/simulation.rs
+++ b/lab/src/faults/simulation.rs
@@ -262,6 +262,7 @@
             target_us: u64::MAX,
             service: Arc::clone(&candidate.member.upstreams[0].service),
             caller: Arc::from(if call.is_multiple_of(3) { "" } else { "lookups" }),
+            workspace: Arc::from(""),
         };
         // A real connection never duplicates a message. Non-idempotent attempts are duplicated
         // nevertheless, because the ledger must prevent a second run even then.
--- a/lab/src/policy/model.rs
+++ b/lab/src/policy/model.rs
@@ -420,6 +420,7 @@
                     target_us: u64::MAX,
                     service: Arc::from("sizing"),
                     caller: Arc::from(""),
+                    workspace: Arc::from(""),
                 };
                 let submitted = self.now;
                 self.deliveries
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -15,7 +15,7 @@
         config::ActiveSubtrees,
         limits::TokenBucket,
         membership::{Members, MembershipAction, MembershipEvent},
-        routing::RoutingTable,
+        routing::{AllowedRegions, RoutingTable},
         schema::{
             Acknowledgement, AttemptHeader, FleetKey, Health, MemberRecord, Packet, PacketBody,
             Placement, Subtree, WorkKind, decode_header, encode_header,
@@ -318,6 +318,7 @@
     let cx = CallContext {
         entry: 1,
         table: &table,
+        regions: &AllowedRegions::All,
         inter_region_budget: &inter_region_budget,
         sequence: &sequence,
     };
@@ -347,6 +348,7 @@
                 target_us: u64::MAX,
                 service: Arc::clone(&service),
                 caller: Arc::clone(&service),
+                workspace: Arc::from(""),
             };
             let encoded = key.encode_header(&header).unwrap_or_default();
             let gate_started = Instant::now();
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -5,7 +5,7 @@
     crate::{
         limits::{RefusalReason, TokenBucket, retry_after},
         recovery::QUARANTINE,
-        routing::{Candidate, Distance, PickRequest, ServiceTable, pick},
+        routing::{AllowedRegions, Candidate, Distance, PickRequest, ServiceTable, pick},
         schema::{AttemptId, LoadReport, Settlement, WorkKind},
         tick::Tick,
     },
@@ -52,6 +52,8 @@
     pub entry: u64,
     /// Upstreams of the service.
     pub table: &'a ServiceTable,
+    /// Regions whose upstreams may run the request.
+    pub regions: &'a AllowedRegions,
     /// Byte budget for traffic to other regions.
     pub inter_region_budget: &'a TokenBucket,
     /// Last attempt sequence number used by the entry.
@@ -341,7 +343,12 @@
     }
 
     fn has_alternative<R: Rng>(&self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> bool {
-        let req = PickRequest { now, excluded_nodes: &self.excluded_nodes, allow_remote: false };
+        let req = PickRequest {
+            now,
+            excluded_nodes: &self.excluded_nodes,
+            regions: cx.regions,
+            allow_remote: false,
+        };
         pick(cx.table, req, rng).is_some()
     }
 
@@ -395,7 +402,12 @@
         };
         let mut excluded_nodes = self.excluded_nodes.clone();
         excluded_nodes.push(original.candidate.member.node);
-        let req = PickRequest { now, excluded_nodes: &excluded_nodes, allow_remote: false };
+        let req = PickRequest {
+            now,
+            excluded_nodes: &excluded_nodes,
+            regions: cx.regions,
+            allow_remote: false,
+        };
         let pick = pick(cx.table, req, rng)?;
         let retries = &cx.table.state.retries;
         let has_capacity = pick.estimate.utilisation < MAX_HEDGE_UTILISATION;
@@ -424,7 +436,12 @@
             return self.finish(now, outcome);
         }
         let is_direct = self.spec.replayable && self.direct_attempts < MAX_DIRECT_ATTEMPTS;
-        let req = PickRequest { now, excluded_nodes: &self.excluded_nodes, allow_remote: true };
+        let req = PickRequest {
+            now,
+            excluded_nodes: &self.excluded_nodes,
+            regions: cx.regions,
+            allow_remote: true,
+        };
         let picked = pick(cx.table, req, rng)
             .filter(|p| {
                 p.candidate.distance != Distance::Remote || try_spend_inter_region_bytes(now, cx)
--- a/pistachiolane/src/config/mod.rs
+++ b/pistachiolane/src/config/mod.rs
@@ -5,6 +5,7 @@
 mod change;
 mod checks;
 mod edit;
+mod key_digest;
 mod packing;
 mod restoration;
 mod route_table;
@@ -12,12 +13,14 @@
 mod token;
 mod tree;
 mod validation_error;
+mod workspace;
 
 pub use {
     active_subtrees::{ActiveSubtrees, ApplyResult},
     change::{Change, ChangeAction, ChangeEvent, ChangeOutcome, ReadResult, WriteResult},
     checks::check_document,
     edit::{get_path, set_path},
+    key_digest::KeyDigest,
     packing::{PackingError, pack, unpack},
     restoration::lost_subtrees,
     route_table::{Route, RouteTable},
@@ -25,6 +28,7 @@
     token::{new_token_digest, verify_token},
     tree::{RequestPolicy, SettingsTree},
     validation_error::ValidationError,
+    workspace::{Workspace, WorkspaceLimit},
 };
 
 /// Name of the subtree that declares teams and regions.
@@ -32,3 +36,6 @@
 
 /// Name of the subtree that contains the routes by host and path prefix.
 pub const ROUTES: &str = "routes";
+
+/// Name of the subtree that lists evacuated availability zones.
+pub const EVACUATIONS: &str = "evacuations";
--- a/pistachiolane/src/config/route_table.rs
+++ b/pistachiolane/src/config/route_table.rs
@@ -1,8 +1,11 @@
 //! Routes by host and longest path prefix, compiled for lookup while a request is handled.
 
 use {
-    super::RequestPolicy,
-    crate::schema::{CallerLimits, RouteSettings, RoutesDocument},
+    super::{KeyDigest, RequestPolicy, Workspace},
+    crate::{
+        routing::AllowedRegions,
+        schema::{CallerLimits, RouteSettings, RoutesDocument},
+    },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
@@ -19,6 +22,10 @@
     pub priority: u8,
     /// Maximum number of upstreams that one call may be sent to.
     pub max_attempts: u32,
+    /// Regions whose upstreams may run the requests.
+    pub regions: AllowedRegions,
+    /// Whether requests need no key.
+    pub is_key_exempt: bool,
     targets: Vec<Target>,
     total_weight: u64,
 }
@@ -35,6 +42,10 @@
     hosts: HashMap<String, HashMap<String, Arc<Route>>>,
     connections: HashMap<String, u32>,
     load_paths: HashMap<String, Arc<str>>,
+    warm_up_rates: HashMap<String, f64>,
+    workspaces: HashMap<KeyDigest, Arc<Workspace>>,
+    /// Whether requests need the key of a workspace, unless their route is exempt.
+    pub keys_required: bool,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
@@ -56,6 +67,8 @@
             target_latency: Duration::from_millis(u64::from(settings.target_latency_ms)),
             priority: settings.priority,
             max_attempts: settings.max_attempts.max(1),
+            regions: AllowedRegions::from_settings(&settings.regions),
+            is_key_exempt: settings.key_exempt,
             total_weight: targets.iter().map(|t| t.weight).sum(),
             targets,
         }
@@ -88,7 +101,15 @@
         let connections = document.connections.iter().map(|(k, v)| (k.clone(), *v)).collect();
         let load_paths =
             document.load_paths.iter().map(|(k, v)| (k.clone(), Arc::from(v.as_str()))).collect();
-        Self { hosts, connections, load_paths, limits }
+        Self {
+            hosts,
+            connections,
+            load_paths,
+            warm_up_rates: document.warm_up_rates.iter().map(|(k, v)| (k.clone(), *v)).collect(),
+            workspaces: index_workspaces(document),
+            keys_required: document.keys_required,
+            limits,
+        }
     }
 
     /// Returns the route with the longest matching path prefix of a host.
@@ -110,6 +131,16 @@
         self.load_paths.get(service)
     }
 
+    /// Returns the requests per second that a cold upstream of a service tolerates, if there is a limit.
+    pub fn warm_up_rate(&self, service: &str) -> Option<f64> {
+        self.warm_up_rates.get(service).copied()
+    }
+
+    /// Returns the workspace that a key identifies.
+    pub fn workspace(&self, digest: &KeyDigest) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(digest)
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(HashMap::len).sum()
@@ -120,3 +151,18 @@
         self.hosts.is_empty()
     }
 }
+
+/// Maps the digest of each key to its workspace; a key of two workspaces identifies neither.
+fn index_workspaces(document: &RoutesDocument) -> HashMap<KeyDigest, Arc<Workspace>> {
+    let mut workspaces: HashMap<KeyDigest, Option<Arc<Workspace>>> = HashMap::new();
+    for settings in &document.workspaces {
+        let workspace = Arc::new(Workspace::new(settings));
+        for digest in settings.key_digests.iter().filter_map(|text| KeyDigest::from_hex(text)) {
+            let entry = workspaces.entry(digest).or_insert_with(|| Some(Arc::clone(&workspace)));
+            if entry.as_ref().is_some_and(|other| other.name != workspace.name) {
+                *entry = None;
+            }
+        }
+    }
+    workspaces.into_iter().filter_map(|(digest, workspace)| Some((digest, workspace?))).collect()
+}
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -6,7 +6,7 @@
         attempt::{Admission, AttemptDecision, Call, CallContext, CallEvent, CallSpec, Ticket},
         limits::{Dequeued, QueueKey, RefusalReason, TokenBucket, WaitQueue},
         membership::{Members, MembershipAction, MembershipEvent},
-        routing::{ProbeBudgets, RoutingTable, ServiceTable, next_probe},
+        routing::{AllowedRegions, ProbeBudgets, RoutingTable, ServiceTable, next_probe},
         schema::{AttemptHeader, Health, LoadReport, MemberRecord, Placement},
         tick::Tick,
     },
@@ -180,6 +180,7 @@
         let cx = CallContext {
             entry: self.node,
             table: &open.table,
+            regions: &AllowedRegions::All,
             inter_region_budget: &self.inter_region_budget,
             sequence: &self.sequence,
         };
--- a/pistachiolane/src/node/dialect.rs
+++ b/pistachiolane/src/node/dialect.rs
@@ -1,6 +1,6 @@
 //! Names of the headers that callers and upstreams use, set by the platform's adapter.
 
-use hyper::header::HeaderName;
+use {hyper::header::HeaderName, std::time::Duration};
 
 /// Parses the slowness of an upstream from a header value: the service time in percent of the
 /// usual one.
@@ -12,6 +12,9 @@
 /// Whether a header value states that the upstream is leaving.
 pub type StatesLeaving = fn(&str) -> bool;
 
+/// Parses the time for which the upstream stays cold from a header value.
+pub type ParseWarmUp = fn(&str) -> Option<Duration>;
+
 /// Headers that callers and upstreams use. A header that is `None` is neither read nor set.
 #[derive(Clone, Debug)]
 pub struct HeaderDialect {
@@ -23,6 +26,11 @@
     pub expected_instance: Option<HeaderName>,
     /// To the upstream: service on the host of the entry that accepted the request.
     pub caller_service: Option<HeaderName>,
+    /// To the upstream: name of the caller's workspace.
+    pub workspace: Option<HeaderName>,
+    /// From the upstream, on responses to health checks: header with the time for which it stays cold, and the
+    /// function that parses it.
+    pub warm_up: Option<(HeaderName, ParseWarmUp)>,
     /// From the upstream: present if the request did not run.
     pub not_run: Option<HeaderName>,
     /// From the upstream: present on every response that the service itself generated.
@@ -48,6 +56,8 @@
             budget_ms: crate::node::headers::BUDGET_MS,
             expected_instance: None,
             caller_service: None,
+            workspace: None,
+            warm_up: None,
             not_run: None,
             signature: None,
             slowness: None,
@@ -61,7 +71,13 @@
     /// Returns the headers that callers may not set; they are removed from callers' requests.
     pub fn reserved(&self) -> impl Iterator<Item = &HeaderName> {
         let slowness = self.slowness.as_ref().map(|(name, _)| name);
-        let names = [&self.expected_instance, &self.caller_service, &self.not_run, &self.signature];
+        let names = [
+            &self.expected_instance,
+            &self.caller_service,
+            &self.workspace,
+            &self.not_run,
+            &self.signature,
+        ];
         names.into_iter().filter_map(Option::as_ref).chain(slowness)
     }
 }
--- a/pistachiolane/src/node/entry/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -14,7 +14,7 @@
         limits::RefusalReason,
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
-        routing::{Candidate, ServiceTable},
+        routing::{AllowedRegions, Candidate, ServiceTable},
         schema::{AttemptHeader, AttemptId, LoadReport, SettleRequest, Settlement, WorkKind},
         tick::Tick,
     },
@@ -51,6 +51,10 @@
     pub body: OutgoingBody,
     /// Fingerprint of what the request asks for.
     pub fingerprint: Fingerprint,
+    /// Regions whose upstreams may run the request.
+    pub regions: AllowedRegions,
+    /// Workspace of the caller; empty if there is none.
+    pub workspace: Arc<str>,
     /// Whether the first attempt already carries the retry marker.
     pub is_retry: bool,
 }
@@ -238,6 +242,7 @@
         let cx = CallContext {
             entry: shared.node,
             table: self.table,
+            regions: &self.req.regions,
             inter_region_budget: &shared.inter_region_bytes,
             sequence: &shared.attempt_sequence,
         };
@@ -390,6 +395,7 @@
             target_us: crate::tick::micros(target),
             service: Arc::clone(&self.table.name),
             caller: Arc::clone(&self.caller),
+            workspace: Arc::clone(&self.req.workspace),
         };
         let local = candidate.member.node == shared.node;
         let upstream = candidate.member.gate;
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -398,8 +398,19 @@
             body_start,
             body_length,
         );
-        let (method, headers) = (parts.method, parts.headers);
-        Ok((spec, OutgoingRequest { method, path, headers, body, fingerprint, is_retry }))
+        let workspace =
+            route.workspace.as_ref().map_or_else(|| Arc::from(""), |w| Arc::clone(&w.name));
+        let outgoing = OutgoingRequest {
+            method: parts.method,
+            path,
+            headers: parts.headers,
+            body,
+            fingerprint,
+            regions: route.regions.clone(),
+            workspace,
+            is_retry,
+        };
+        Ok((spec, outgoing))
     }
 
     fn build_response(&self, result: CallResult) -> Response<Body> {
--- a/pistachiolane/src/node/entry/resolved_route.rs
+++ b/pistachiolane/src/node/entry/resolved_route.rs
@@ -2,8 +2,11 @@
 //! host names.
 
 use {
-    crate::config::{RequestPolicy, Route, SettingsTree},
-    crate::node::{entry::entry_server::host_name, shared::Shared},
+    crate::{
+        config::{RequestPolicy, Route, SettingsTree, Workspace},
+        node::{entry::entry_server::host_name, shared::Shared},
+        routing::AllowedRegions,
+    },
     hyper::http::request::Parts,
     rand::RngExt,
     std::{
@@ -40,6 +43,10 @@
     pub class: u32,
     /// Priority under overload; 0 is served first.
     pub priority: u8,
+    /// Regions whose upstreams may run the request.
+    pub regions: AllowedRegions,
+    /// Workspace of the caller, if there is one.
+    pub workspace: Option<Arc<Workspace>>,
 }
 
 impl ResolvedRoute {
@@ -69,6 +76,8 @@
             target_latency: route.target_latency,
             class: request_class(&route.name),
             priority: route.priority,
+            regions: route.regions.clone(),
+            workspace: None,
         })
     }
 
@@ -87,6 +96,8 @@
             target_latency: Duration::MAX,
             class: request_class(name),
             priority: 0,
+            regions: AllowedRegions::All,
+            workspace: None,
         })
     }
 }
--- a/pistachiolane/src/routing/mod.rs
+++ b/pistachiolane/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! Choice of an upstream from load reports, each of which is stale to some degree.
 
+mod allowed_regions;
 mod candidate;
 mod distance;
 mod estimate;
@@ -9,6 +10,7 @@
 mod table;
 
 pub use {
+    allowed_regions::AllowedRegions,
     candidate::Candidate,
     distance::Distance,
     estimate::{Estimate, ServiceBaseline},
--- a/pistachiolane/src/routing/pick.rs
+++ b/pistachiolane/src/routing/pick.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Candidate, Distance, Estimate, ServiceBaseline, ServiceTable, service_table::MAX_SAMPLED,
+        AllowedRegions, Candidate, Distance, Estimate, ServiceBaseline, ServiceTable,
+        service_table::MAX_SAMPLED,
     },
     crate::{schema::GateState, tick::Tick},
     rand::{Rng, RngExt},
@@ -24,6 +25,8 @@
     /// Nodes that aren't picked, because an earlier attempt of the call was refused there, other than as
     /// busy, or failed there.
     pub excluded_nodes: &'a [u64],
+    /// Regions whose upstreams may be picked.
+    pub regions: &'a AllowedRegions,
     /// Whether remote upstreams may be picked while nearby ones are usable.
     pub allow_remote: bool,
 }
@@ -42,7 +45,7 @@
 /// Draining, dead and unreachable upstreams are never picked; suspect, ejected and shedding ones only if
 /// there is no healthy one. The entry's estimate may be wrong: only the gate decides on admission.
 pub fn pick<R: Rng>(table: &ServiceTable, req: PickRequest<'_>, rng: &mut R) -> Option<Pick> {
-    let sampled = sample(table, rng);
+    let sampled = sample(table, req.regions, rng);
     let is_eligible =
         |c: &&Arc<Candidate>| c.is_usable(req.now) && !req.excluded_nodes.contains(&c.member.node);
     let usable: Vec<&Arc<Candidate>> = sampled.into_iter().filter(is_eligible).collect();
@@ -57,31 +60,38 @@
     pick_lowest(req.now, &candidates, &baseline, rng)
 }
 
-/// Returns all candidates, or a sample in which those of the entry's availability zone come first.
-fn sample<'a, R: Rng>(table: &'a ServiceTable, rng: &mut R) -> Vec<&'a Arc<Candidate>> {
+/// Returns all candidates in allowed regions, or a sample in which those of the entry's availability zone come first.
+fn sample<'a, R: Rng>(
+    table: &'a ServiceTable,
+    regions: &AllowedRegions,
+    rng: &mut R,
+) -> Vec<&'a Arc<Candidate>> {
+    let is_allowed = |c: &&Arc<Candidate>| regions.allows(&c.member.region);
     if table.candidates.len() <= MAX_SAMPLED {
-        return table.candidates.iter().collect();
+        return table.candidates.iter().filter(is_allowed).collect();
     }
     let [zone, region, remote] = table.by_distance();
     let elsewhere =
         region.len().min(MIN_SAMPLED_ELSEWHERE) + remote.len().min(MIN_SAMPLED_ELSEWHERE);
     let mut sampled = Vec::with_capacity(MAX_SAMPLED);
-    sampled.extend(window(zone, MAX_SAMPLED - elsewhere, rng));
+    sampled.extend(window(zone, MAX_SAMPLED - elsewhere, regions, rng));
     let left = MAX_SAMPLED - sampled.len() - remote.len().min(MIN_SAMPLED_ELSEWHERE);
-    sampled.extend(window(region, left, rng));
-    sampled.extend(window(remote, MAX_SAMPLED - sampled.len(), rng));
+    sampled.extend(window(region, left, regions, rng));
+    sampled.extend(window(remote, MAX_SAMPLED - sampled.len(), regions, rng));
     sampled
 }
 
-/// Returns up to `count` consecutive candidates from a random index on; their order is random with
-/// respect to load.
+/// Returns up to `count` consecutive candidates in allowed regions from a random index on; their order is
+/// random with respect to load.
 fn window<'a, R: Rng>(
     candidates: &'a [Arc<Candidate>],
     count: usize,
+    regions: &AllowedRegions,
     rng: &mut R,
 ) -> impl Iterator<Item = &'a Arc<Candidate>> {
     let start = rng.random_range(0..candidates.len().max(1));
-    candidates.iter().cycle().skip(start).take(count.min(candidates.len()))
+    let rotated = candidates.iter().cycle().skip(start).take(candidates.len());
+    rotated.filter(|c| regions.allows(&c.member.region)).take(count)
 }
 
 /// Excludes remote candidates if they aren't allowed and a nearby one exists.
--- a/pistachiolane/src/schema/mod.rs
+++ b/pistachiolane/src/schema/mod.rs
@@ -17,8 +17,9 @@
         Settlement, Subtree, SubtreeVersion, SuspectUpdate,
     },
     generated_settings::{
-        Announcement, CallerLimits, RegionSettings, RootDocument, RouteSettings, RouteTarget,
-        RoutesDocument, Rule, ServiceSettings, StoredSubtree, TeamDocument, TeamEntry, WorkKind,
+        Announcement, CallerLimits, EvacuationsDocument, RegionSettings, RootDocument,
+        RouteSettings, RouteTarget, RoutesDocument, Rule, ServiceSettings, StoredSubtree,
+        TeamDocument, TeamEntry, WorkKind, WorkspaceSettings,
     },
     load_report::{GateState, LoadReport},
     wire::{FleetKey, MAX_PACKET_BYTES, WireError, decode_header, encode_header},
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -10,7 +10,7 @@
         },
         limits::{RefusalReason, TokenBucket},
         membership::{Members, MembershipAction, MembershipEvent},
-        routing::{Candidate, Distance, ServiceTable},
+        routing::{AllowedRegions, Candidate, Distance, ServiceTable},
         schema::{AttemptId, Settlement, WorkKind},
         tick::Tick,
     },
@@ -53,6 +53,7 @@
         let cx = CallContext {
             entry: 9,
             table: &self.table,
+            regions: &AllowedRegions::All,
             inter_region_budget: &self.inter_region_budget,
             sequence: &self.sequence,
         };
--- a/pistachiolane/tests/routes.rs
+++ b/pistachiolane/tests/routes.rs
@@ -18,6 +18,8 @@
         target_latency_ms: 300,
         priority: 1,
         max_attempts: 2,
+        regions: Vec::new(),
+        key_exempt: false,
         targets: targets
             .iter()
             .map(|&(service, weight)| RouteTarget { service: service.into(), weight })
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -6,7 +6,10 @@
     common::member,
     pistachiolane::{
         limits::TokenBucket,
-        routing::{Candidate, Distance, PickRequest, ProbeBudgets, ServiceTable, next_probe, pick},
+        routing::{
+            AllowedRegions, Candidate, Distance, PickRequest, ProbeBudgets, ServiceTable,
+            next_probe, pick,
+        },
         schema::{GateState, Health, LoadReport},
         tick::Tick,
     },
@@ -33,7 +36,7 @@
 /// Returns the nodes that 200 picks select, sorted and without repetition.
 fn picks(table: &ServiceTable, excluded_nodes: &[u64], allow_remote: bool) -> Vec<u64> {
     let mut rng = SmallRng::seed_from_u64(1);
-    let req = PickRequest { now: NOW, excluded_nodes, allow_remote };
+    let req = PickRequest { now: NOW, excluded_nodes, regions: &AllowedRegions::All, allow_remote };
     let mut nodes: Vec<u64> = (0..200)
         .filter_map(|_| pick(table, req, &mut rng))
         .map(|p| p.candidate.member.node)
@@ -228,7 +231,12 @@
         candidate.record_report(NOW, &report(1, running, 100_000));
     }
     let mut rng = SmallRng::seed_from_u64(1);
-    let req = PickRequest { now: NOW, excluded_nodes: &[], allow_remote: true };
+    let req = PickRequest {
+        now: NOW,
+        excluded_nodes: &[],
+        regions: &AllowedRegions::All,
+        allow_remote: true,
+    };
     let in_zone = (0..200)
         .filter_map(|_| pick(&table, req, &mut rng))
         .filter(|p| p.candidate.distance == Distance::Zone && p.estimate.utilisation < 1.0)
