--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -15,7 +15,7 @@
         config::ActiveSubtrees,
         limits::TokenBucket,
         membership::{Members, MembershipAction, MembershipEvent},
-        routing::{AllowedRegions, RoutingTable},
+        routing::{AllowedRegions, EvacuatedZones, RoutingTable},
         schema::{
             Acknowledgement, AttemptHeader, FleetKey, Health, MemberRecord, Packet, PacketBody,
             Placement, Subtree, WorkKind, decode_header, encode_header,
@@ -319,6 +319,7 @@
         entry: 1,
         table: &table,
         regions: &AllowedRegions::All,
+        evacuated: EvacuatedZones::none(),
         inter_region_budget: &inter_region_budget,
         sequence: &sequence,
     };
--- a/lab/src/stand_in/platform.rs
+++ b/lab/src/stand_in/platform.rs
@@ -146,6 +146,11 @@
         self.apply(kind, name, write, spec);
     }
 
+    /// Deletes an object, as the platform's operator does.
+    pub fn delete_as_operator(&self, kind: &str, name: &str) {
+        self.apply(kind, name, WriteOperation::Delete { expected: None }, Value::Null);
+    }
+
     /// Discards the history; watches from a revision up to the current one get status 410 (gone).
     pub fn discard_history(&self) {
         let revision = self.store().revision;
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -70,6 +70,25 @@
 
 /// Starts a node with an upstream that is not announced yet.
 pub async fn start_host_with_capacity(store: Arc<PlatformStandIn>, capacity: Capacity) -> TestHost {
+    start_host_with(store, capacity, &[]).await
+}
+
+/// Starts a node of a deployment with evacuations in a zone, with an upstream that is not announced yet.
+pub async fn start_host_in_zone(
+    store: Arc<PlatformStandIn>,
+    zone: &str,
+    capacity: Capacity,
+) -> TestHost {
+    let flags = [("zone", zone), ("evacuation-timeout", "5")];
+    start_host_with(store, capacity, &flags).await
+}
+
+/// Starts a node with additional flags and an upstream that is not announced yet.
+async fn start_host_with(
+    store: Arc<PlatformStandIn>,
+    capacity: Capacity,
+    flags: &[(&str, &str)],
+) -> TestHost {
     let outage = Arc::<HostOutage>::default();
     let stop = CancellationToken::new();
     let store_address = store.start_for_host(loopback(0), stop, Arc::clone(&outage)).await.unwrap();
@@ -89,7 +108,7 @@
             "platform" => format!("http://{store_address}"),
             "service" => "huvo".to_owned(),
             "heartbeat" => "60".to_owned(),
-            _ => return None,
+            other => return flags.iter().find(|(n, _)| *n == other).map(|(_, v)| (*v).to_owned()),
         })
     };
     let source = SettingsSource { flag: &flag, env: &|_| None, derived: &|_| None };
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -5,7 +5,9 @@
     crate::{
         limits::{RefusalReason, TokenBucket, retry_after},
         recovery::QUARANTINE,
-        routing::{AllowedRegions, Candidate, Distance, PickRequest, ServiceTable, pick},
+        routing::{
+            AllowedRegions, Candidate, Distance, EvacuatedZones, PickRequest, ServiceTable, pick,
+        },
         schema::{AttemptId, LoadReport, Settlement, WorkKind},
         tick::Tick,
     },
@@ -54,6 +56,8 @@
     pub table: &'a ServiceTable,
     /// Regions whose upstreams may run the request.
     pub regions: &'a AllowedRegions,
+    /// Zones whose upstreams get no attempts.
+    pub evacuated: &'a EvacuatedZones,
     /// Byte budget for traffic to other regions.
     pub inter_region_budget: &'a TokenBucket,
     /// Last attempt sequence number used by the entry.
@@ -66,6 +70,8 @@
     candidate: Arc<Candidate>,
     sent_at: Tick,
     hedge: bool,
+    /// Whether the gate may queue the attempt.
+    may_queue: bool,
     /// Time of the next settlement request, if one is scheduled.
     settle_at: Option<Tick>,
 }
@@ -202,6 +208,7 @@
                 self.was_refused_by_overload = true;
                 self.excluded_nodes.push(node);
             }
+            RefusalReason::Evacuated => self.on_zone_evacuated(cx, &attempt),
             RefusalReason::Quarantined if self.in_flight.is_empty() => {
                 let outcome = if self.may_have_run {
                     Outcome::Unknown
@@ -226,6 +233,25 @@
         self.next_attempt(now, cx, rng)
     }
 
+    /// Excludes the whole zone of a gate that refused an attempt because its zone is evacuated.
+    ///
+    /// The attempt doesn't count towards those after which the service counts as full.
+    fn on_zone_evacuated(&mut self, cx: CallContext<'_>, attempt: &InFlightAttempt) {
+        let member = &attempt.candidate.member;
+        let in_zone =
+            cx.table.candidates.iter().map(|c| &c.member).filter(|m| m.zone == member.zone);
+        self.excluded_nodes.extend(in_zone.map(|m| m.node).chain([member.node]));
+        // A body that was streamed is spent all the same.
+        if self.spec.replayable && !attempt.hedge {
+            let attempts = if attempt.may_queue {
+                &mut self.queueable_attempts
+            } else {
+                &mut self.direct_attempts
+            };
+            *attempts = attempts.saturating_sub(1);
+        }
+    }
+
     /// Takes one retry from the budget for a further attempt after an upstream shed the request.
     fn try_spend_retry_after_shed(&self, cx: CallContext<'_>) -> bool {
         !self.spec.is_retry && cx.table.state.retries.try_withdraw()
@@ -347,6 +373,7 @@
             now,
             excluded_nodes: &self.excluded_nodes,
             regions: cx.regions,
+            evacuated: cx.evacuated,
             allow_remote: false,
         };
         pick(cx.table, req, rng).is_some()
@@ -406,6 +433,7 @@
             now,
             excluded_nodes: &excluded_nodes,
             regions: cx.regions,
+            evacuated: cx.evacuated,
             allow_remote: false,
         };
         let pick = pick(cx.table, req, rng)?;
@@ -440,6 +468,7 @@
             now,
             excluded_nodes: &self.excluded_nodes,
             regions: cx.regions,
+            evacuated: cx.evacuated,
             allow_remote: true,
         };
         let picked = pick(cx.table, req, rng)
@@ -488,6 +517,7 @@
             candidate: Arc::clone(&candidate),
             sent_at: now,
             hedge: cause == AttemptCause::Hedge,
+            may_queue,
             settle_at: None,
         });
         CallAction::Send { id, candidate, may_queue, cause }
@@ -526,7 +556,10 @@
         if self.may_have_run {
             return Outcome::Unknown;
         }
-        Outcome::NotRun { reason, retry_after: retry_after(rng, cx.table.expected_wait(now)) }
+        Outcome::NotRun {
+            reason,
+            retry_after: retry_after(rng, cx.table.expected_wait(now, cx.evacuated)),
+        }
     }
 
     fn finish(&mut self, now: Tick, outcome: Outcome) -> Vec<CallAction> {
--- a/pistachiolane/src/cli/args.rs
+++ b/pistachiolane/src/cli/args.rs
@@ -186,6 +186,13 @@
         help = "share of the upstream's slots that may be used at once (100)"
     )]
     pub usable_slots: Option<String>,
+    /// Time within which the evacuation of a zone must hold.
+    #[options(
+        no_short,
+        meta = "SECONDS",
+        help = "time within which the evacuation of a zone must hold; without it, none is watched for"
+    )]
+    pub evacuation_timeout: Option<String>,
     /// Log level.
     #[options(no_short, meta = "LEVEL", help = "error, warn, info, debug or trace (info)")]
     pub log_level: Option<String>,
@@ -218,6 +225,7 @@
             "retry-percent" => &self.retry_percent,
             "retry-reserve" => &self.retry_reserve,
             "usable-slots" => &self.usable_slots,
+            "evacuation-timeout" => &self.evacuation_timeout,
             "log-level" => &self.log_level,
             "stop-timeout" => &self.stop_timeout,
             _ => &None,
--- a/pistachiolane/src/cli/output.rs
+++ b/pistachiolane/src/cli/output.rs
@@ -58,6 +58,8 @@
     write_section(&mut text, "members", &value["members"]);
     write_section(&mut text, "services", &value["services"]);
     write_section(&mut text, "settings versions", &value["settings"]);
+    write_section(&mut text, "evacuations", &value["evacuations"]);
+    write_section(&mut text, "gate", &value["gate"]);
     let violations = &value["invariant_violations"];
     let _infallible = writeln!(text, "invariant violations {violations}");
     text
--- a/pistachiolane/src/config/checks.rs
+++ b/pistachiolane/src/config/checks.rs
@@ -1,7 +1,7 @@
 //! Validation of a subtree's document before it is written.
 
 use {
-    super::{ROOT, ROUTES, ValidationError},
+    super::{EVACUATIONS, ROOT, ROUTES, ValidationError},
     crate::schema::{
         RootDocument, RouteSettings, RoutesDocument, Rule, ServiceSettings, TeamDocument,
     },
@@ -61,7 +61,7 @@
     let mut owners: BTreeMap<&Arc<str>, &String> = BTreeMap::new();
     for (team, entry) in &root.teams {
         check_name(&format!("{ROOT}/teams/{team}"), team, &mut errors);
-        if team == ROOT || team == ROUTES {
+        if [ROOT, ROUTES, EVACUATIONS].contains(&team.as_str()) {
             errors
                 .push(ValidationError::new(format!("{ROOT}/teams/{team}"), "the name is reserved"));
         }
--- a/pistachiolane/src/config/mod.rs
+++ b/pistachiolane/src/config/mod.rs
@@ -13,6 +13,7 @@
 mod token;
 mod tree;
 mod validation_error;
+mod watched_evacuations;
 mod workspace;
 
 pub use {
@@ -28,6 +29,7 @@
     token::{new_token_digest, verify_token},
     tree::{RequestPolicy, SettingsTree},
     validation_error::ValidationError,
+    watched_evacuations::WatchedEvacuations,
     workspace::{Workspace, WorkspaceLimit},
 };
 
--- a/pistachiolane/src/config/restoration.rs
+++ b/pistachiolane/src/config/restoration.rs
@@ -1,7 +1,7 @@
 //! Subtrees to write again after the store came back from an older copy.
 
 use {
-    super::ROUTES,
+    super::{EVACUATIONS, ROUTES},
     crate::schema::Subtree,
     std::{collections::BTreeMap, sync::Arc},
 };
@@ -9,11 +9,12 @@
 /// Returns the subtrees in force that the store has lost: those of which it has no version or an older
 /// one.
 ///
-/// The subtree of routes is left out, because the platform's operator writes it again.
+/// The subtrees of routes and of evacuations are left out, because they follow objects of the platform's operator.
 pub fn lost_subtrees(in_force: Vec<Subtree>, stored: &[Subtree]) -> Vec<Subtree> {
     let versions: BTreeMap<&Arc<str>, u64> = stored.iter().map(|s| (&s.name, s.version)).collect();
     let is_lost = |s: &Subtree| {
-        s.name.as_ref() != ROUTES && s.version > versions.get(&s.name).copied().unwrap_or(0)
+        !matches!(s.name.as_ref(), ROUTES | EVACUATIONS)
+            && s.version > versions.get(&s.name).copied().unwrap_or(0)
     };
     in_force.into_iter().filter(is_lost).collect()
 }
--- a/pistachiolane/src/config/tree.rs
+++ b/pistachiolane/src/config/tree.rs
@@ -1,10 +1,13 @@
 //! The settings in force, compiled for lookup while a request is handled.
 
 use {
-    super::{ROOT, ROUTES, RouteTable, checks::parse},
-    crate::schema::{
-        RegionSettings, RootDocument, RoutesDocument, Rule, ServiceSettings, Subtree, TeamDocument,
-        WorkKind,
+    super::{EVACUATIONS, ROOT, ROUTES, RouteTable, checks::parse},
+    crate::{
+        routing::EvacuatedZones,
+        schema::{
+            EvacuationsDocument, RegionSettings, RootDocument, RoutesDocument, Rule,
+            ServiceSettings, Subtree, TeamDocument, WorkKind,
+        },
     },
     std::{collections::HashMap, sync::Arc, time::Duration},
 };
@@ -30,6 +33,7 @@
     services: HashMap<Arc<str>, Arc<ServiceSettings>>,
     routes: Option<Arc<RouteTable>>,
     routes_version: u64,
+    evacuations: Option<EvacuatedZones>,
 }
 
 impl SettingsTree {
@@ -46,6 +50,10 @@
         let routes_version = routes.map_or(0, |s| s.version);
         let routes = routes.and_then(|s| parse::<RoutesDocument>(ROUTES, &s.document).ok());
         let routes = routes.map(|d| Arc::new(RouteTable::new(&d)));
+        let evacuations = subtrees.clone().find(|s| s.name.as_ref() == EVACUATIONS).and_then(|s| {
+            let document = parse::<EvacuationsDocument>(EVACUATIONS, &s.document).ok()?;
+            Some(EvacuatedZones { version: s.version, zones: document.zones })
+        });
         let mut services = HashMap::new();
         for subtree in subtrees {
             let Some(entry) = root.teams.get(subtree.name.as_ref()) else {
@@ -60,7 +68,7 @@
                 }
             }
         }
-        Self { root, services, routes, routes_version }
+        Self { root, services, routes, routes_version, evacuations }
     }
 
     /// Returns the settings of a service.
@@ -79,6 +87,11 @@
         self.routes_version
     }
 
+    /// Returns the evacuated zones, unless their subtree is missing or can't be parsed.
+    pub fn evacuations(&self) -> Option<&EvacuatedZones> {
+        self.evacuations.as_ref()
+    }
+
     /// Returns the number of services with settings.
     pub fn service_count(&self) -> usize {
         self.services.len()
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -6,7 +6,9 @@
         attempt::{Admission, AttemptDecision, Call, CallContext, CallEvent, CallSpec, Ticket},
         limits::{Dequeued, QueueKey, RefusalReason, TokenBucket, WaitQueue},
         membership::{Members, MembershipAction, MembershipEvent},
-        routing::{AllowedRegions, ProbeBudgets, RoutingTable, ServiceTable, next_probe},
+        routing::{
+            AllowedRegions, EvacuatedZones, ProbeBudgets, RoutingTable, ServiceTable, next_probe,
+        },
         schema::{AttemptHeader, Health, LoadReport, MemberRecord, Placement},
         tick::Tick,
     },
@@ -181,6 +183,7 @@
             entry: self.node,
             table: &open.table,
             regions: &AllowedRegions::All,
+            evacuated: EvacuatedZones::none(),
             inter_region_budget: &self.inter_region_budget,
             sequence: &self.sequence,
         };
@@ -271,7 +274,7 @@
                 Dequeued::Run(delivery) => (delivery, None),
                 Dequeued::Expired(delivery) => (delivery, Some(RefusalReason::Expired)),
                 Dequeued::UpstreamUnavailable(delivery) => {
-                    (delivery, Some(RefusalReason::Draining))
+                    (delivery, Some(self.admission.gate.queue_refusal(now)))
                 }
                 Dequeued::Shed(delivery) => (delivery, Some(RefusalReason::QueueFull)),
             };
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -1,7 +1,9 @@
 //! Admission control of one gate: decides which attempts run, wait or are refused.
 
 use {
-    super::{AdaptiveLimit, AdmissionRequest, Slots, Slowness, StatedRate},
+    super::{
+        AdaptiveLimit, AdmissionRequest, Slots, Slowness, StatedRate, ZoneEvacuation, ZoneState,
+    },
     crate::{
         schema::{GateState, LoadReport},
         tick::Tick,
@@ -51,12 +53,15 @@
         /// was queued.
         Draining,
         /// The gate has no upstream of the service, can't connect to it, or belongs to another incarnation
-        /// of the node.
+        /// of the node, or doesn't know yet whether its zone is evacuated.
         NotHere,
         /// The attempt's connection was retired, or a settlement already reported the attempt as *not run*.
         Retired,
         /// The time budget is used up, or too short compared with the expected service time.
         Expired,
+        /// The availability zone of the gate is evacuated, or its upstream's state is not read yet after the end of
+        /// an evacuation.
+        Evacuated,
         /// The request crashed upstreams that ran it.
         Quarantined,
         /// The upstream itself rejected the request; each further attempt after it uses the retry budget.
@@ -74,6 +79,7 @@
             Self::NotHere => "not-here",
             Self::Retired => "retired",
             Self::Expired => "expired",
+            Self::Evacuated => "evacuated",
             Self::Quarantined => "quarantined",
             Self::Shed => "shed",
         }
@@ -87,6 +93,7 @@
             Self::Draining,
             Self::Retired,
             Self::Expired,
+            Self::Evacuated,
             Self::Quarantined,
             Self::Shed,
         ];
@@ -114,6 +121,8 @@
     pub slowness: Slowness,
     /// Rate of requests that the upstream states to accept.
     pub stated_rate: StatedRate,
+    /// Evacuation of the gate's availability zone.
+    pub zone: ZoneState,
 }
 
 impl Default for Gate {
@@ -129,6 +138,7 @@
             upstream_present: AtomicBool::new(false),
             slowness: Slowness::default(),
             stated_rate: StatedRate::default(),
+            zone: ZoneState::default(),
         }
     }
 }
@@ -174,9 +184,24 @@
     }
 
     /// Whether queued attempts are still run at the upstream.
-    pub fn runs_queued_attempts(&self) -> bool {
+    pub fn runs_queued_attempts(&self, now: Tick) -> bool {
         self.upstream_present.load(Ordering::SeqCst)
             && !self.upstream_draining.load(Ordering::SeqCst)
+            && self.zone_refusal(now).is_none()
+    }
+
+    /// Returns the reason why queued attempts are not run, given that they aren't.
+    pub fn queue_refusal(&self, now: Tick) -> RefusalReason {
+        self.zone_refusal(now).unwrap_or(RefusalReason::Draining)
+    }
+
+    /// Returns the reason why the evacuation of the gate's zone forbids to start an attempt, if it does.
+    fn zone_refusal(&self, now: Tick) -> Option<RefusalReason> {
+        match self.zone.observe(now) {
+            ZoneEvacuation::None => None,
+            ZoneEvacuation::Unknown => Some(RefusalReason::NotHere),
+            ZoneEvacuation::Evacuated | ZoneEvacuation::Reopening => Some(RefusalReason::Evacuated),
+        }
     }
 
     /// Admits an attempt without a target latency, as [`Gate::admit`] does.
@@ -193,6 +218,9 @@
         if self.is_draining() {
             return AdmissionDecision::Refuse(RefusalReason::Draining);
         }
+        if let Some(reason) = self.zone_refusal(req.arrived) {
+            return AdmissionDecision::Refuse(reason);
+        }
         if !self.upstream_present.load(Ordering::SeqCst) {
             return AdmissionDecision::Refuse(RefusalReason::NotHere);
         }
@@ -292,6 +320,7 @@
         let upstream_present = self.upstream_present.load(Ordering::SeqCst);
         match now {
             _ if self.is_draining() || !upstream_present => GateState::Draining,
+            _ if self.zone.get() != ZoneEvacuation::None => GateState::Draining,
             _ if self.limit.is_failing(now) => GateState::Shedding,
             _ if now.0 < self.warming_until.load(Ordering::Relaxed) => GateState::Warming,
             _ => GateState::Ready,
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -15,6 +15,7 @@
 mod stated_rate;
 mod token_bucket;
 mod wait_queue;
+mod zone_state;
 
 pub use {
     adaptive_limit::AdaptiveLimit,
@@ -34,4 +35,5 @@
     stated_rate::StatedRate,
     token_bucket::TokenBucket,
     wait_queue::{Dequeued, QueueKey, StartDeadlines, WaitQueue},
+    zone_state::{ZoneEvacuation, ZoneState},
 };
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -18,7 +18,7 @@
     Run(T),
     /// The deadline of the item passed; it is not run.
     Expired(T),
-    /// The upstream is draining or no longer announces itself; the item is not run there.
+    /// The upstream is draining or no longer announces itself, or its zone is evacuated; the item is not run there.
     UpstreamUnavailable(T),
     /// The queue exceeds its bound and the item was the newest of the longest sub-queue of the least
     /// urgent priority; it is not run.
@@ -97,8 +97,8 @@
         self.sub_queues.is_empty()
     }
 
-    /// Removes and returns the next item that must leave the queue, because the upstream is draining or
-    /// absent, the queue exceeds its bound, the item expired, or a slot is free; `None` if there is none.
+    /// Removes and returns the next item that must leave the queue, because the upstream is draining,
+    /// absent or in an evacuated zone, the queue exceeds its bound, the item expired, or a slot is free; `None` if there is none.
     ///
     /// Items for which `is_cancelled` holds are dropped, because their callers disconnected.
     pub fn next(
@@ -107,7 +107,7 @@
         gate: &Gate,
         is_cancelled: impl Fn(&T) -> bool,
     ) -> Option<Dequeued<T>> {
-        if !gate.runs_queued_attempts() {
+        if !gate.runs_queued_attempts(now) {
             let (key, _) = self.sub_queues.first_key_value()?;
             let attempt = self.remove(&key.clone(), 0)?;
             gate.release_queue_place();
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -189,6 +189,10 @@
     suspects: Gauge,
     /// Milliseconds since a peer or the store last confirmed the settings in force.
     settings_age_ms: Gauge,
+    /// Evacuated availability zones, as known to this node.
+    evacuated_zones: Gauge,
+    /// Evacuations of zones that came into force or ended at this node, by case.
+    evacuation_changes: Cases,
     /// Requests per second that the local upstream states to accept; 0 while it states no limit.
     upstream_rate_limit: RateGauge,
     /// Invariant violations since the process started.
--- a/pistachiolane/src/node/admin/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -40,11 +40,22 @@
         "members": members_by_region,
         "services": services,
         "settings": versions,
+        "evacuations": evacuations(shared),
+        "gate": {
+            "zone": shared.admission.gate.zone.get().name(),
+            "running": shared.admission.gate.running(),
+        },
         "settings_age_ms": shared.settings_age.since_confirmed(shared.now()).as_millis() as u64,
         "invariant_violations": invariants::violations(),
     })
 }
 
+/// Returns the evacuated zones with their version; null while the node knows none.
+fn evacuations(shared: &Shared) -> Value {
+    let tree = shared.settings_tree.load();
+    tree.evacuations().map_or(Value::Null, |e| json!({ "version": e.version, "zones": e.zones }))
+}
+
 /// Returns the whole state of the node.
 pub async fn dump(shared: &Shared, control: &ControlHandle) -> Value {
     let snapshot = control.snapshot().await;
--- a/pistachiolane/src/node/control/control_loop.rs
+++ b/pistachiolane/src/node/control/control_loop.rs
@@ -8,16 +8,18 @@
         shared::Shared,
     },
     crate::{
-        config::{ActiveSubtrees, ApplyResult},
-        limits::WATCHERS_PER_REGION,
+        config::{ActiveSubtrees, ApplyResult, SettingsTree},
+        limits::{WATCHERS_PER_REGION, ZoneEvacuation},
         membership::{Members, MembershipAction, MembershipEvent},
-        routing::RoutingTable,
+        metrics::Metrics,
+        routing::{EvacuatedZones, RoutingTable},
         schema::{
             ExchangeReply, Health, LoadReport, MemberRecord, PackedReply, PackedSubtree, Packet,
             Placement, Subtree, SubtreeVersion, SuspectUpdate,
         },
         tick::Tick,
     },
+    rand::seq::IteratorRandom,
     std::{
         collections::HashSet,
         net::SocketAddr,
@@ -43,6 +45,13 @@
 /// Minimum time between two reads of the store for settings that peers have not supplied.
 const OVERDUE_READ_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Interval between two requests to confirm that the node's zone is not evacuated.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Number of requests for a confirmation of which one goes to the store as well: a peer usually answers the first one,
+/// and calls to the store are priced.
+const CONFIRMATIONS_PER_STORE_READ: u32 = 7;
+
 /// Maximum number of commands that wait for the loop.
 const MAX_QUEUED_COMMANDS: usize = 4_096;
 
@@ -100,6 +109,10 @@
     next_overdue_read_at: Tick,
     /// Start of the last comparison of settings with a peer.
     compared_at: Tick,
+    /// Earliest time of the next request to confirm that the zone is not evacuated.
+    next_confirmation_at: Tick,
+    /// Number of such requests since the state of the zone became unknown.
+    confirmation_requests: u32,
     is_comparing_settings: Arc<AtomicBool>,
 }
 
@@ -204,6 +217,8 @@
             suspects_version: 0,
             next_overdue_read_at: Tick(0),
             compared_at: Tick(0),
+            next_confirmation_at: Tick(0),
+            confirmation_requests: 0,
             is_comparing_settings: Arc::default(),
         };
         (control, handle)
@@ -225,6 +240,7 @@
                     self.step(MembershipEvent::Timer);
                     self.rebuild_routing_table();
                     self.update_watch_rank();
+                    self.confirm_zone();
                     let joined = self.members.has_joined(self.shared.now());
                     self.shared.has_joined.store(joined, Ordering::Relaxed);
                 }
@@ -354,11 +370,41 @@
         let is_isolated = self.members.is_isolated(self.shared.now());
         if is_isolated != std::mem::replace(&mut self.is_isolated, is_isolated) {
             log::info!(target: "membership", is_isolated; "connection to the other members changed");
+            if !is_isolated {
+                self.shared.admission.gate.zone.forget(self.shared.now());
+            }
         }
         let rank = if is_isolated { 0 } else { self.watch_rank };
         self.shared.watch_rank.store(rank, Ordering::Relaxed);
     }
 
+    /// Requests a confirmation of the set of evacuated zones from a random peer, and at times from the store, while the
+    /// node may have missed a change of it.
+    fn confirm_zone(&mut self) {
+        let now = self.shared.now();
+        if self.shared.admission.gate.zone.observe(now) != ZoneEvacuation::Unknown {
+            self.confirmation_requests = 0;
+            return;
+        }
+        // A node that knows no set since its start reads it as all other settings.
+        let is_known = self.shared.settings_tree.load().evacuations().is_some();
+        if !is_known || now < self.next_confirmation_at {
+            return;
+        }
+        self.next_confirmation_at = now + CONFIRMATION_INTERVAL;
+        self.confirmation_requests += 1;
+        let local = self.shared.node;
+        let alive =
+            self.members.live_records().filter(|r| r.node != local && r.health == Health::Alive);
+        let peer = alive.choose(&mut rand::rng()).map(|r| r.control);
+        if let Some(peer) = peer {
+            self.compare_settings(peer);
+        }
+        if peer.is_none() || self.confirmation_requests % CONFIRMATIONS_PER_STORE_READ == 2 {
+            self.shared.evacuations_overdue.notify_one();
+        }
+    }
+
     /// Queues what is known of suspected requests for the other nodes, if it changed.
     fn publish_suspects(&mut self) {
         let version = self.shared.quarantine.version();
@@ -408,6 +454,7 @@
                 "peers have not supplied newer settings in time, reading the store"
             );
             self.shared.settings_overdue.notify_one();
+            self.shared.evacuations_overdue.notify_one();
         }
     }
 
@@ -436,7 +483,7 @@
             let applied = self.active_subtrees.apply(subtree);
             has_newer |= self.record_applied(&name, version, previous, applied, source);
         }
-        self.put_in_force(has_newer);
+        self.put_in_force(has_newer, source);
     }
 
     fn apply_packed(&mut self, subtrees: Vec<PackedSubtree>) {
@@ -453,7 +500,7 @@
                 }
             }
         }
-        self.put_in_force(has_newer);
+        self.put_in_force(has_newer, "peer");
     }
 
     /// Logs the result of applying a subtree; returns whether it is in force now and was not before.
@@ -478,13 +525,34 @@
         is_newer
     }
 
-    fn put_in_force(&mut self, has_newer: bool) {
+    fn put_in_force(&mut self, has_newer: bool, source: &'static str) {
         if has_newer {
+            let previous = self.shared.settings_tree.load_full();
             self.shared.apply_settings(self.active_subtrees.compile());
+            self.record_evacuations(&previous, source);
             self.members.set_settings_digest(self.active_subtrees.digest());
         }
     }
 
+    /// Logs and counts the zones that are evacuated since the previous settings, and those that no longer are.
+    fn record_evacuations(&self, previous: &SettingsTree, source: &'static str) {
+        let (shared, tree) = (&self.shared, self.shared.settings_tree.load());
+        let current = tree.evacuations().unwrap_or(EvacuatedZones::none());
+        let previous = previous.evacuations().unwrap_or(EvacuatedZones::none());
+        let age_ms = shared.settings_age.since_confirmed(shared.now()).as_millis() as u64;
+        let version = current.version;
+        for zone in current.difference(previous) {
+            Metrics::count(&shared.metrics.evacuation_changes, "evacuated");
+            log::warn!(target: "evacuation", zone = &**zone, version, source, age_ms; "zone evacuated");
+        }
+        for zone in previous.difference(current) {
+            Metrics::count(&shared.metrics.evacuation_changes, "ended");
+            log::warn!(target: "evacuation", zone = &**zone, version, source, age_ms; "evacuation ended");
+        }
+        let zones = i64::try_from(current.zones.len()).unwrap_or(i64::MAX);
+        shared.metrics.evacuated_zones.set(zones);
+    }
+
     fn snapshot(&self) -> ControlSnapshot {
         let local = std::iter::once(self.members.local_record().clone());
         ControlSnapshot {
--- a/pistachiolane/src/node/control/settings_comparison.rs
+++ b/pistachiolane/src/node/control/settings_comparison.rs
@@ -21,6 +21,7 @@
     versions: Vec<SubtreeVersion>,
 ) {
     let key = &shared.settings.fleet_key;
+    let requested_at = shared.now();
     let reply = match control_client::exchange_packed(key, from, versions.clone()).await {
         Ok(reply) => reply,
         Err(ControlError::Failed(e)) => {
@@ -36,6 +37,7 @@
     let received_newer = !reply.newer.is_empty();
     handle.apply_packed(reply.newer).await;
     shared.settings_age.resolve(shared.now());
+    shared.confirm_evacuations(requested_at);
     if received_newer {
         shared.has_settings.store(true, Ordering::Relaxed);
     }
@@ -57,6 +59,7 @@
     versions: Vec<SubtreeVersion>,
 ) {
     let key = &shared.settings.fleet_key;
+    let requested_at = shared.now();
     let reply = match control_client::exchange(key, from, versions).await {
         Ok(reply) => reply,
         Err(e) => return log_failed_comparison(from, &e),
@@ -64,6 +67,7 @@
     let received_newer = !reply.newer.is_empty();
     handle.apply(reply.newer, "peer").await;
     shared.settings_age.resolve(shared.now());
+    shared.confirm_evacuations(requested_at);
     if received_newer {
         shared.has_settings.store(true, Ordering::Relaxed);
     }
--- a/pistachiolane/src/node/control/store_task.rs
+++ b/pistachiolane/src/node/control/store_task.rs
@@ -31,11 +31,11 @@
 const MEMBERS_KIND: &str = "members";
 
 /// Maximum delay after the first failed call; it doubles with each further failure.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
+pub const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
 
 /// Upper limit of the delay after failed calls: state that expired in an outage must be restored
 /// within two seconds of its end.
-const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
+pub const MAX_BACKOFF: Duration = Duration::from_millis(1_600);
 
 /// Upper limit of the delay in a ready node's watch of settings that are not urgent or that the first
 /// node of its region retries sooner.
@@ -43,10 +43,10 @@
 
 /// Time after joining for which a node that does not watch the store waits for the settings of its
 /// peers before it reads the store.
-const PEER_SETTINGS_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const PEER_SETTINGS_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Interval between two checks of whether the node has joined or has received settings.
-const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+pub const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Number of listings without an answer of a registered node after which a node registers itself.
 const LISTINGS_BEFORE_REGISTRATION: u32 = 2;
@@ -69,7 +69,7 @@
 
 /// Interval between two checks of whether the node has become a watcher, or of whether the
 /// registration of a dead member can be removed.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+pub const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for which a member must be dead before its registration is removed; the restart of a host
 /// takes much less.
@@ -82,16 +82,18 @@
 
 /// Exponential back-off with jitter, so that the nodes of a fleet don't retry at the same moment.
 #[derive(Debug)]
-struct Backoff {
+pub struct Backoff {
     max_delay: Duration,
 }
 
 impl Backoff {
-    fn new() -> Self {
+    /// Creates a back-off without failed calls.
+    pub fn new() -> Self {
         Self { max_delay: INITIAL_BACKOFF }
     }
 
-    fn reset(&mut self) {
+    /// Forgets the failed calls.
+    pub fn reset(&mut self) {
         self.max_delay = INITIAL_BACKOFF;
     }
 
@@ -99,7 +101,8 @@
         self.pause_up_to(MAX_BACKOFF).await;
     }
 
-    async fn pause_up_to(&mut self, limit: Duration) {
+    /// Waits after a failed call; `limit` bounds the delay after the next ones.
+    pub async fn pause_up_to(&mut self, limit: Duration) {
         let fraction: f64 = rand::rng().random_range(0.3..1.0);
         sleep(self.max_delay.mul_f64(fraction)).await;
         self.max_delay = (self.max_delay * 2).min(limit);
@@ -108,18 +111,20 @@
 
 /// Availability of the store; logs each change once.
 #[derive(Debug, Default)]
-struct Dependency {
+pub struct Dependency {
     lost: bool,
 }
 
 impl Dependency {
-    fn record_failure(&mut self, kind: &str, error: &StoreError) {
+    /// Records that a call failed.
+    pub fn record_failure(&mut self, kind: &str, error: &StoreError) {
         if !std::mem::replace(&mut self.lost, true) {
             log::warn!(target: "store", kind, error = error.to_string().as_str(); "store lost");
         }
     }
 
-    fn record_success(&mut self, kind: &str) {
+    /// Records that a call succeeded.
+    pub fn record_success(&mut self, kind: &str) {
         if std::mem::take(&mut self.lost) {
             log::info!(target: "store", kind; "store regained");
         }
@@ -482,7 +487,8 @@
     }
 }
 
-fn count_read<T>(shared: &Shared, result: &Result<T, StoreError>) {
+/// Counts a read of the store by its result.
+pub fn count_read<T>(shared: &Shared, result: &Result<T, StoreError>) {
     let label = match result {
         Ok(_) => "read",
         Err(StoreError::OverBudget) => "over-budget",
--- a/pistachiolane/src/node/entry/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -14,7 +14,7 @@
         limits::RefusalReason,
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
-        routing::{AllowedRegions, Candidate, ServiceTable},
+        routing::{AllowedRegions, Candidate, EvacuatedZones, ServiceTable},
         schema::{AttemptHeader, AttemptId, LoadReport, SettleRequest, Settlement, WorkKind},
         tick::Tick,
     },
@@ -239,10 +239,12 @@
     fn step(&mut self, event: CallEvent) {
         self.log_event(&event);
         let shared = &self.driver.shared;
+        let tree = shared.settings_tree.load();
         let cx = CallContext {
             entry: shared.node,
             table: self.table,
             regions: &self.req.regions,
+            evacuated: tree.evacuations().unwrap_or(EvacuatedZones::none()),
             inter_region_budget: &shared.inter_region_bytes,
             sequence: &shared.attempt_sequence,
         };
--- a/pistachiolane/src/node/gate/queue_task.rs
+++ b/pistachiolane/src/node/gate/queue_task.rs
@@ -107,7 +107,8 @@
             Dequeued::Run(item) => (item, QueueDecision::Run(SlotGuard::new(Arc::clone(shared)))),
             Dequeued::Expired(item) => (item, QueueDecision::Refused(RefusalReason::Expired)),
             Dequeued::UpstreamUnavailable(item) => {
-                (item, QueueDecision::Refused(RefusalReason::Draining))
+                let reason = shared.admission.gate.queue_refusal(shared.now());
+                (item, QueueDecision::Refused(reason))
             }
             Dequeued::Shed(item) => (item, QueueDecision::Refused(RefusalReason::QueueFull)),
         };
--- a/pistachiolane/src/node/integration.rs
+++ b/pistachiolane/src/node/integration.rs
@@ -7,7 +7,7 @@
         store::{Object, StoreAdapter},
     },
     futures::future::BoxFuture,
-    std::{fmt, io, sync::Arc},
+    std::{fmt, io, sync::Arc, time::Duration},
 };
 
 type Decode = Box<dyn Fn(&Object) -> Result<Subtree, String> + Send + Sync>;
@@ -26,6 +26,18 @@
     pub decode: Decode,
 }
 
+/// Watch of the store objects that name evacuated availability zones: a zone is evacuated while an object of its name
+/// exists.
+#[derive(Debug)]
+pub struct EvacuationsWatch {
+    /// Kind of the objects.
+    pub kind: Arc<str>,
+    /// Number of nodes in a region that watch the kind; the others receive changes from them.
+    pub watchers_per_region: u64,
+    /// Time after the acknowledgement of an object's creation within which the evacuation must hold.
+    pub timeout: Duration,
+}
+
 /// The parts of a node that depend on the platform.
 pub struct Integration {
     /// Calls to the platform's store.
@@ -33,6 +45,8 @@
     /// Watch of settings that the platform maintains, if any; the node is not ready until they are
     /// in force.
     pub settings: Option<SettingsWatch>,
+    /// Watch of evacuated zones, if the deployment has evacuations.
+    pub evacuations: Option<EvacuationsWatch>,
     /// Names of the headers that are exchanged with callers and upstreams.
     pub dialect: HeaderDialect,
     /// Starts the adapter's additional services; called after the tasks of the node are started.
@@ -43,7 +57,13 @@
     /// Creates an integration with pistachiolane's native interface and the given store.
     pub fn native(store: StoreAdapter) -> Self {
         let start_services: StartServices = Box::new(|_node| Box::pin(async { Ok(()) }));
-        Self { store, settings: None, dialect: HeaderDialect::native(), start_services }
+        Self {
+            store,
+            settings: None,
+            evacuations: None,
+            dialect: HeaderDialect::native(),
+            start_services,
+        }
     }
 }
 
@@ -55,6 +75,9 @@
 
 impl fmt::Debug for Integration {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Integration").field("settings", &self.settings).finish_non_exhaustive()
+        f.debug_struct("Integration")
+            .field("settings", &self.settings)
+            .field("evacuations", &self.evacuations)
+            .finish_non_exhaustive()
     }
 }
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -20,7 +20,7 @@
     accept::accept,
     dialect::HeaderDialect,
     error::NodeError,
-    integration::{Integration, SettingsWatch},
+    integration::{EvacuationsWatch, Integration, SettingsWatch},
     node_handle::NodeHandle,
     run::{RunningNode, run},
     shared::Shared,
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -6,6 +6,7 @@
         control::{
             control_loop::{ControlHandle, ControlLoop},
             control_service::ControlServer,
+            evacuation_task::watch_evacuations,
             gossip_socket::GossipSocket,
             store_task::{maintain_member_registrations, native_settings_watch, watch_settings},
         },
@@ -13,7 +14,7 @@
         error::NodeError,
         gate::{
             announcements::run_announcements, gate_server::GateServer, load_probe::run_load_probes,
-            queue_task::run_queue,
+            queue_task::run_queue, reopening::run_reopening,
         },
         integration::Integration,
         node_handle::NodeHandle,
@@ -85,7 +86,8 @@
         bound.map_err(|source| NodeError::Bind { flag: "control-listen", address, source })?;
 
     let node = rand::rng().random_range(1..u64::MAX);
-    let Integration { store, settings: settings_watch, dialect, start_services } = integration;
+    let Integration { store, settings: settings_watch, evacuations, dialect, start_services } =
+        integration;
     let store = Store::new(store);
     let dependencies = NodeDependencies { store, dialect, needs_routes: settings_watch.is_some() };
     let (shared, queue_items) = Shared::new(settings, dependencies, node);
@@ -117,6 +119,10 @@
     for watch in settings_watch.into_iter().chain([native_settings_watch()]) {
         tokio::spawn(watch_settings(Arc::clone(&shared), control.clone(), watch));
     }
+    if let Some(watch) = evacuations {
+        tokio::spawn(watch_evacuations(Arc::clone(&shared), control.clone(), watch));
+    }
+    tokio::spawn(run_reopening(Arc::clone(&shared), Arc::clone(&gate)));
     tokio::spawn(maintain_member_registrations(Arc::clone(&shared), control.clone()));
     tokio::spawn(sweep_ledger(Arc::clone(&shared)));
     start_services(handle).await.map_err(NodeError::Services)?;
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -15,7 +15,7 @@
         limits::TokenBucket,
         metrics::Metrics,
         recovery::Quarantine,
-        routing::RoutingTable,
+        routing::{EvacuatedZones, RoutingTable},
         schema::{Announcement, MemberRecord},
         settings::{ProcessSettings, Tunables},
         store::Store,
@@ -50,6 +50,10 @@
 /// allow any.
 const MIN_RESERVE_HUNDREDTHS: u64 = 100;
 
+/// Part of the time in which an evacuation must hold after which a node that did not run asks again whether its zone is
+/// evacuated. After a shorter pause, a change still arrives in time as usual.
+const EVACUATION_GAP_DIVISOR: u32 = 4;
+
 /// Dependencies from the adapter that all tasks share.
 #[derive(Debug)]
 pub struct NodeDependencies {
@@ -107,6 +111,14 @@
     pub settings_age: SettingsAge,
     /// Notified when the node should read the store, because its peers have not supplied newer settings in time.
     pub settings_overdue: Notify,
+    /// Version of the evacuated zones in force, for their watch.
+    pub evacuations_in_force: watch::Sender<u64>,
+    /// Notified when the node should list the evacuated zones in the store, because its peers have not supplied or
+    /// confirmed them in time.
+    pub evacuations_overdue: Notify,
+    /// Notified when the node's zone is no longer evacuated and the gate may admit attempts once it knows the state of
+    /// the upstream.
+    pub zone_reopening: Notify,
     /// Whether the node has joined the fleet.
     pub has_joined: AtomicBool,
     /// Number of alive members of the region that precede the node in the order of store watchers.
@@ -158,6 +170,9 @@
             has_settings: AtomicBool::new(false),
             settings_age: SettingsAge::default(),
             settings_overdue: Notify::new(),
+            evacuations_in_force: watch::Sender::new(0),
+            evacuations_overdue: Notify::new(),
+            zone_reopening: Notify::new(),
             has_joined: AtomicBool::new(false),
             watch_rank: AtomicU64::new(0),
             needs_routes: dependencies.needs_routes,
@@ -167,6 +182,9 @@
             work: TaskTracker::new(),
             started: Instant::now(),
         };
+        if let Some(timeout) = shared.settings.evacuation_timeout {
+            shared.admission.gate.zone.require(timeout / EVACUATION_GAP_DIVISOR);
+        }
         (Arc::new(shared), items)
     }
 
@@ -238,6 +256,31 @@
             inter_region_bytes_per_second,
             inter_region_bytes_per_second * INTER_REGION_BURST_SECONDS,
         );
+        let evacuations = tree.evacuations().cloned();
         self.settings_tree.store(Arc::new(tree));
+        if let Some(evacuations) = evacuations {
+            self.apply_evacuations(&evacuations);
+        }
+    }
+
+    fn apply_evacuations(&self, evacuations: &EvacuatedZones) {
+        let zone = &self.admission.gate.zone;
+        if evacuations.contains(&self.settings.zone) {
+            zone.evacuate();
+            self.queue.wake();
+            self.unsolicited_report.notify_one();
+        } else if zone.end() {
+            self.zone_reopening.notify_one();
+        }
+        self.evacuations_in_force.send_replace(evacuations.version);
+    }
+
+    /// Records that a peer or the store confirmed the evacuated zones in force at a request of `requested_at`.
+    pub fn confirm_evacuations(&self, requested_at: Tick) {
+        let tree = self.settings_tree.load();
+        let is_in_service = tree.evacuations().is_some_and(|e| !e.contains(&self.settings.zone));
+        if is_in_service && self.admission.gate.zone.confirm(requested_at) {
+            self.zone_reopening.notify_one();
+        }
     }
 }
--- a/pistachiolane/src/routing/mod.rs
+++ b/pistachiolane/src/routing/mod.rs
@@ -4,6 +4,7 @@
 mod candidate;
 mod distance;
 mod estimate;
+mod evacuated_zones;
 mod pick;
 mod probe;
 mod service_table;
@@ -14,6 +15,7 @@
     candidate::Candidate,
     distance::Distance,
     estimate::{Estimate, ServiceBaseline},
+    evacuated_zones::EvacuatedZones,
     pick::{Pick, PickRequest, pick},
     probe::{ProbeBudgets, STALE_AFTER, next_probe},
     service_table::{NO_UPSTREAM_RETRY_AFTER, ServiceState, ServiceTable},
--- a/pistachiolane/src/routing/pick.rs
+++ b/pistachiolane/src/routing/pick.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AllowedRegions, Candidate, Distance, Estimate, ServiceBaseline, ServiceTable,
-        service_table::MAX_SAMPLED,
+        AllowedRegions, Candidate, Distance, Estimate, EvacuatedZones, ServiceBaseline,
+        ServiceTable, service_table::MAX_SAMPLED,
     },
     crate::{schema::GateState, tick::Tick},
     rand::{Rng, RngExt},
@@ -27,10 +27,20 @@
     pub excluded_nodes: &'a [u64],
     /// Regions whose upstreams may be picked.
     pub regions: &'a AllowedRegions,
+    /// Zones whose upstreams aren't picked.
+    pub evacuated: &'a EvacuatedZones,
     /// Whether remote upstreams may be picked while nearby ones are usable.
     pub allow_remote: bool,
 }
 
+impl PickRequest<'_> {
+    /// Whether an upstream is in an allowed region and outside the evacuated zones.
+    fn allows_place_of(&self, candidate: &Candidate) -> bool {
+        let member = &candidate.member;
+        self.regions.allows(&member.region) && !self.evacuated.contains(&member.zone)
+    }
+}
+
 /// Picked upstream with its estimate.
 #[derive(Clone, Debug)]
 pub struct Pick {
@@ -42,10 +52,10 @@
 
 /// Picks the upstream with the lowest expected completion time; ties are broken at random.
 ///
-/// Draining, dead and unreachable upstreams are never picked; suspect, ejected and shedding ones only if
+/// Draining, dead and unreachable upstreams and those of evacuated zones are never picked; suspect, ejected and shedding ones only if
 /// there is no healthy one. The entry's estimate may be wrong: only the gate decides on admission.
 pub fn pick<R: Rng>(table: &ServiceTable, req: PickRequest<'_>, rng: &mut R) -> Option<Pick> {
-    let sampled = sample(table, req.regions, rng);
+    let sampled = sample(table, req, rng);
     let is_eligible =
         |c: &&Arc<Candidate>| c.is_usable(req.now) && !req.excluded_nodes.contains(&c.member.node);
     let usable: Vec<&Arc<Candidate>> = sampled.into_iter().filter(is_eligible).collect();
@@ -60,13 +70,13 @@
     pick_lowest(req.now, &candidates, &baseline, rng)
 }
 
-/// Returns all candidates in allowed regions, or a sample in which those of the entry's availability zone come first.
+/// Returns all candidates in allowed places, or a sample in which those of the entry's availability zone come first.
 fn sample<'a, R: Rng>(
     table: &'a ServiceTable,
-    regions: &AllowedRegions,
+    req: PickRequest<'_>,
     rng: &mut R,
 ) -> Vec<&'a Arc<Candidate>> {
-    let is_allowed = |c: &&Arc<Candidate>| regions.allows(&c.member.region);
+    let is_allowed = |c: &&Arc<Candidate>| req.allows_place_of(c);
     if table.candidates.len() <= MAX_SAMPLED {
         return table.candidates.iter().filter(is_allowed).collect();
     }
@@ -74,24 +84,24 @@
     let elsewhere =
         region.len().min(MIN_SAMPLED_ELSEWHERE) + remote.len().min(MIN_SAMPLED_ELSEWHERE);
     let mut sampled = Vec::with_capacity(MAX_SAMPLED);
-    sampled.extend(window(zone, MAX_SAMPLED - elsewhere, regions, rng));
+    sampled.extend(window(zone, MAX_SAMPLED - elsewhere, is_allowed, rng));
     let left = MAX_SAMPLED - sampled.len() - remote.len().min(MIN_SAMPLED_ELSEWHERE);
-    sampled.extend(window(region, left, regions, rng));
-    sampled.extend(window(remote, MAX_SAMPLED - sampled.len(), regions, rng));
+    sampled.extend(window(region, left, is_allowed, rng));
+    sampled.extend(window(remote, MAX_SAMPLED - sampled.len(), is_allowed, rng));
     sampled
 }
 
-/// Returns up to `count` consecutive candidates in allowed regions from a random index on; their order is
+/// Returns up to `count` consecutive candidates in allowed places from a random index on; their order is
 /// random with respect to load.
 fn window<'a, R: Rng>(
     candidates: &'a [Arc<Candidate>],
     count: usize,
-    regions: &AllowedRegions,
+    is_allowed: impl Fn(&&'a Arc<Candidate>) -> bool,
     rng: &mut R,
 ) -> impl Iterator<Item = &'a Arc<Candidate>> {
     let start = rng.random_range(0..candidates.len().max(1));
     let rotated = candidates.iter().cycle().skip(start).take(candidates.len());
-    rotated.filter(|c| regions.allows(&c.member.region)).take(count)
+    rotated.filter(is_allowed).take(count)
 }
 
 /// Excludes remote candidates if they aren't allowed and a nearby one exists.
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -1,7 +1,7 @@
 //! Upstreams of one service, with measurements of the service as a whole.
 
 use {
-    super::{Candidate, Distance},
+    super::{Candidate, Distance, EvacuatedZones},
     crate::{
         limits::{Average, Quantile, RetryBudget},
         schema::GateState,
@@ -87,14 +87,17 @@
     }
 
     /// Returns the time after which an upstream is expected to have a free slot: the backlog of the least
-    /// loaded one, or [`NO_UPSTREAM_RETRY_AFTER`] if all are draining or dead.
-    pub fn expected_wait(&self, now: Tick) -> Duration {
+    /// loaded one, or [`NO_UPSTREAM_RETRY_AFTER`] if all are draining, dead or in evacuated zones.
+    pub fn expected_wait(&self, now: Tick, evacuated: &EvacuatedZones) -> Duration {
         let backlog_us = |c: &Arc<Candidate>| {
             let report = c.last_report();
             let requests_ahead = u64::from(report.running) / 2 + u64::from(report.queued);
             u64::from(report.latency_us) * requests_ahead / u64::from(report.slots.max(1))
         };
-        let usable = self.candidates.iter().filter(|c| !c.is_draining_or_dead(now));
+        let is_usable = |c: &&Arc<Candidate>| {
+            !c.is_draining_or_dead(now) && !evacuated.contains(&c.member.zone)
+        };
+        let usable = self.candidates.iter().filter(is_usable);
         usable.map(backlog_us).min().map_or(NO_UPSTREAM_RETRY_AFTER, Duration::from_micros)
     }
 
--- a/pistachiolane/src/settings/process.rs
+++ b/pistachiolane/src/settings/process.rs
@@ -3,7 +3,7 @@
 use {
     super::Tunables,
     crate::schema::FleetKey,
-    std::{fmt, net::SocketAddr, str::FromStr, sync::Arc},
+    std::{fmt, net::SocketAddr, str::FromStr, sync::Arc, time::Duration},
 };
 
 const DEFAULT_GATE_LISTEN: &str = "127.0.0.1:8081";
@@ -53,6 +53,9 @@
     /// Service that the host runs; requests of callers on the host are attributed to it. If not set, the service of
     /// the announced upstream is used.
     pub service: Option<Arc<str>>,
+    /// Time within which the evacuation of a zone must hold; `None` if the deployment has no evacuations, and the
+    /// store is not asked for them.
+    pub evacuation_timeout: Option<Duration>,
     /// Settings that can change while the node runs.
     pub tunables: Tunables,
 }
@@ -129,6 +132,7 @@
             ready_listen: reader.optional_address("ready-listen"),
             announce_listen: reader.optional_address("announce-listen"),
             service: reader.optional_name("service"),
+            evacuation_timeout: reader.optional_duration("evacuation-timeout"),
             tunables: Tunables::read(&mut reader),
         };
         settings.check_addresses(&mut reader.faults);
@@ -191,6 +195,17 @@
         self.parse(name, &text, "an IP address and port such as 10.0.0.7:8080")
     }
 
+    fn optional_duration(&mut self, name: &str) -> Option<Duration> {
+        let text = self.find(name).filter(|t| !t.is_empty())?;
+        let expected = "seconds of 0 or more, such as 5.5";
+        let seconds: f64 = self.parse(name, &text, expected)?;
+        let duration = Duration::try_from_secs_f64(seconds).ok();
+        if duration.is_none() {
+            self.faults.push(format!("--{name}: `{text}` is not {expected}"));
+        }
+        duration
+    }
+
     fn optional_name(&mut self, name: &str) -> Option<Arc<str>> {
         self.find(name).filter(|t| !t.is_empty())?;
         Some(self.name(name, ""))
--- a/pistachiolane/src/store/objects.rs
+++ b/pistachiolane/src/store/objects.rs
@@ -29,5 +29,7 @@
         pub position: Position,
         /// Objects.
         pub items: Vec<Object>,
+        /// Names of the objects whose last change since the position was their deletion; empty in a listing of all.
+        pub removed: Vec<Arc<str>>,
     }
 }
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -10,8 +10,11 @@
         },
         limits::{RefusalReason, TokenBucket},
         membership::{Members, MembershipAction, MembershipEvent},
-        routing::{AllowedRegions, Candidate, Distance, ServiceTable},
-        schema::{AttemptId, Settlement, WorkKind},
+        routing::{
+            AllowedRegions, Candidate, Distance, EvacuatedZones, NO_UPSTREAM_RETRY_AFTER,
+            ServiceTable,
+        },
+        schema::{AttemptId, MemberRecord, Settlement, WorkKind},
         tick::Tick,
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -26,6 +29,7 @@
 
 struct CallHarness {
     table: ServiceTable,
+    evacuated: EvacuatedZones,
     inter_region_budget: TokenBucket,
     sequence: AtomicU64,
     rng: SmallRng,
@@ -41,6 +45,7 @@
         let spec = CallSpec { target: Tick(u64::MAX), ..CallSpec::new(kind, Tick(0) + SECOND) };
         Self {
             table: ServiceTable::new("sizing".into(), candidates, Arc::default()),
+            evacuated: EvacuatedZones::default(),
             inter_region_budget: TokenBucket::new(0, 0),
             sequence: AtomicU64::new(0),
             rng: SmallRng::seed_from_u64(1),
@@ -54,6 +59,7 @@
             entry: 9,
             table: &self.table,
             regions: &AllowedRegions::All,
+            evacuated: &self.evacuated,
             inter_region_budget: &self.inter_region_budget,
             sequence: &self.sequence,
         };
@@ -93,6 +99,77 @@
     assert!(matches!(outcome(&end), Some(Outcome::NotRun { reason: r, .. }) if r == reason));
 }
 
+/// Returns a harness with the given number of upstreams in each of two zones.
+fn harness_with_zones(kind: WorkKind, upstreams: [u64; 2]) -> CallHarness {
+    let in_zone = |zone: &'static str, nodes: std::ops::Range<u64>| {
+        nodes.map(move |node| {
+            let member = MemberRecord { zone: zone.into(), ..member(node) };
+            Arc::new(Candidate::new(member, Distance::Zone, 10))
+        })
+    };
+    let [a, b] = upstreams;
+    let candidates = in_zone("a", 1..a + 1).chain(in_zone("b", a + 1..a + b + 1)).collect();
+    let mut harness = CallHarness::new(kind, 0);
+    harness.table = ServiceTable::new("sizing".into(), candidates, Arc::default());
+    harness
+}
+
+/// Guards against attempts in an evacuated zone: the first one, and a retry or hedge after the evacuation.
+#[test]
+fn evacuated_zone_gets_no_attempt() {
+    for seed in 0..20 {
+        let mut harness = harness_with_zones(WorkKind::Idempotent, [8, 2]);
+        harness.rng = SmallRng::seed_from_u64(seed);
+        for _ in 0..100 {
+            harness.table.state.hedge_after.record(Duration::from_millis(5));
+            harness.table.state.retries.deposit(100);
+        }
+        harness.evacuated.zones.push("a".into());
+        let mut actions = harness.step(Tick(0), CallEvent::Started);
+        let first = sent_attempt(&actions).unwrap().0;
+        if seed % 2 == 0 {
+            actions.extend(harness.step(Tick(1), CallEvent::Lost(first)));
+        } else {
+            actions.extend(harness.step(Tick(0) + SECOND / 2, CallEvent::Timer));
+        }
+        let sent = actions.iter().filter_map(|action| match action {
+            CallAction::Send { candidate, .. } => Some(&candidate.member.zone),
+            _ => None,
+        });
+        let zones: Vec<&str> = sent.map(AsRef::as_ref).collect();
+        assert_eq!(zones, ["b"; 2], "seed {seed}");
+    }
+}
+
+/// Guards against a wait for the deadline, and against callers who return at once, when all zones are evacuated.
+#[test]
+fn call_without_a_zone_is_not_run_at_once() {
+    let mut harness = harness_with_zones(WorkKind::NonIdempotent, [2, 2]);
+    harness.evacuated.zones = vec!["a".into(), "b".into()];
+    let end = outcome(&harness.step(Tick(0), CallEvent::Started));
+    let Some(Outcome::NotRun { reason, retry_after }) = end else { panic!("{end:?}") };
+    assert_eq!(reason, NotRunReason::NoUpstream);
+    assert!(retry_after >= NO_UPSTREAM_RETRY_AFTER / 2, "{retry_after:?}");
+}
+
+/// Guards against a refusal for each upstream of an evacuated zone that the entry does not know of yet, and against
+/// counting these refusals as overload, which ends a call as `service-full`.
+#[test]
+fn refusal_by_an_evacuated_zone_excludes_the_zone_and_is_no_overload() {
+    let mut harness = harness_with_zones(WorkKind::NonIdempotent, [8, 1]);
+    let mut actions = harness.step(Tick(0), CallEvent::Started);
+    let mut attempts = 0;
+    while let Some((id, cause)) = sent_attempt(&actions) {
+        assert_eq!(cause, AttemptCause::First);
+        attempts += 1;
+        actions = harness.step(Tick(1), CallEvent::Refused(id, RefusalReason::Evacuated, None));
+    }
+    assert!(attempts <= 2, "{attempts} attempts in two zones");
+    let end = outcome(&actions);
+    let reason = NotRunReason::NoUpstream;
+    assert!(matches!(end, Some(Outcome::NotRun { reason: r, .. }) if r == reason), "{end:?}");
+}
+
 #[test_case(Settlement::NotRun, true, None; "not run is sent to another upstream")]
 #[test_case(Settlement::Done, false, Some(Outcome::Unknown); "done without response")]
 #[test_case(Settlement::Unknown, false, Some(Outcome::Unknown); "unknown")]
--- a/pistachiolane/tests/config.rs
+++ b/pistachiolane/tests/config.rs
@@ -3,9 +3,9 @@
 use {
     pistachiolane::{
         config::{
-            ActiveSubtrees, ApplyResult, Change, ChangeAction, ChangeEvent, ChangeOutcome, ROUTES,
-            ReadResult, RequestPolicy, SettingsTree, WriteResult, check_document, get_path,
-            lost_subtrees, new_token_digest, set_path, verify_token,
+            ActiveSubtrees, ApplyResult, Change, ChangeAction, ChangeEvent, ChangeOutcome,
+            EVACUATIONS, ROUTES, ReadResult, RequestPolicy, SettingsTree, WriteResult,
+            check_document, get_path, lost_subtrees, new_token_digest, set_path, verify_token,
         },
         schema::{RootDocument, Subtree, WorkKind},
         tick::Tick,
@@ -224,6 +224,7 @@
 #[test_case("shop", 5, Some(5), false; "same")]
 #[test_case("shop", 5, Some(6), false; "newer")]
 #[test_case(ROUTES, 5, None, false; "routes")]
+#[test_case(EVACUATIONS, 5, None, false; "evacuations")]
 fn lost_subtree_is_written_again(name: &str, in_force: u64, stored: Option<u64>, lost: bool) {
     let in_force = subtree(name, in_force, &json!({}));
     let stored: Vec<Subtree> = stored.map(|v| subtree(name, v, &json!({}))).into_iter().collect();
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -7,8 +7,8 @@
     pistachiolane::{
         limits::TokenBucket,
         routing::{
-            AllowedRegions, Candidate, Distance, PickRequest, ProbeBudgets, ServiceTable,
-            next_probe, pick,
+            AllowedRegions, Candidate, Distance, EvacuatedZones, PickRequest, ProbeBudgets,
+            ServiceTable, next_probe, pick,
         },
         schema::{GateState, Health, LoadReport},
         tick::Tick,
@@ -36,7 +36,8 @@
 /// Returns the nodes that 200 picks select, sorted and without repetition.
 fn picks(table: &ServiceTable, excluded_nodes: &[u64], allow_remote: bool) -> Vec<u64> {
     let mut rng = SmallRng::seed_from_u64(1);
-    let req = PickRequest { now: NOW, excluded_nodes, regions: &AllowedRegions::All, allow_remote };
+    let (regions, evacuated) = (&AllowedRegions::All, EvacuatedZones::none());
+    let req = PickRequest { now: NOW, excluded_nodes, regions, evacuated, allow_remote };
     let mut nodes: Vec<u64> = (0..200)
         .filter_map(|_| pick(table, req, &mut rng))
         .map(|p| p.candidate.member.node)
@@ -235,6 +236,7 @@
         now: NOW,
         excluded_nodes: &[],
         regions: &AllowedRegions::All,
+        evacuated: EvacuatedZones::none(),
         allow_remote: true,
     };
     let in_zone = (0..200)
