--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -16,6 +16,7 @@
 mod token_bucket;
 mod urgency;
 mod wait_queue;
+mod zone_state;
 
 pub use {
     adaptive_limit::AdaptiveLimit,
@@ -36,4 +37,5 @@
     token_bucket::TokenBucket,
     urgency::Urgency,
     wait_queue::{Dequeued, QueueKey, StartDeadlines, WaitQueue},
+    zone_state::{ZoneEvacuation, ZoneState},
 };
