A gate keeps the rate that a cold upstream tolerates

Cause: an upstream that restarts, or turns cold under the same instance id, got its usual load until it crashed again; the rate in the settings was not used.

Change: the token bucket of a stated rate takes the lower of the stated and the cold rate, and starts empty when a cold phase begins. An announcement that would shorten a cold phase is confirmed by a health check, because it carries no time and may be older. An outdated announcement no longer renews the warm-up time. Load reports show the wait that the rate causes as queued requests, the queue refuses at once what the rate starts too late, and the start and end of a cold phase are reported to other nodes at once.

Over sockets an upstream that restarts cold under the same id stays within its bound, also after a late announcement from before the restart.

--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -67,6 +67,12 @@
     pub cancelled: AtomicU64,
     /// Number of health checks.
     pub health_checks: AtomicU64,
+    /// Times of receipt of all requests, health checks included, since the start of the upstream.
+    pub arrivals: Mutex<Vec<Duration>>,
+    /// End of the cold phase.
+    cold_until: Mutex<Option<Instant>>,
+    /// Closes the connections that are open at a restart.
+    restarted: Mutex<CancellationToken>,
     /// Header lines that are added to each response, without the final line break; empty if there are none.
     pub stated: Mutex<String>,
     /// Number of accepted connections.
@@ -124,6 +130,9 @@
             executed: Mutex::default(),
             cancelled: AtomicU64::new(0),
             health_checks: AtomicU64::new(0),
+            arrivals: Mutex::default(),
+            cold_until: Mutex::default(),
+            restarted: Mutex::default(),
             stated: Mutex::default(),
             connections: AtomicU64::new(0),
             rejected_when_full: AtomicU64::new(0),
@@ -145,8 +154,11 @@
                 let Ok((socket, _)) = accepted else { return };
                 serving.connections.fetch_add(1, Ordering::SeqCst);
                 let upstream = Arc::clone(&serving);
+                let restarted =
+                    serving.restarted.lock().unwrap_or_else(PoisonError::into_inner).clone();
                 tokio::spawn(async move {
                     tokio::select! {
+                        () = restarted.cancelled() => {}
                         // An error is ignored: some tests break connections on purpose.
                         _ended = upstream.serve_connection(socket) => {}
                         () = upstream.stop.cancelled() => {}
@@ -167,6 +179,27 @@
         self.stop.cancel();
     }
 
+    /// Restarts the upstream at the same address under the same instance id: all its connections close, and it is cold
+    /// for `cold`.
+    pub fn restart(&self, cold: Duration) {
+        let end = Instant::now() + cold;
+        *self.cold_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
+        let mut restarted = self.restarted.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *restarted).cancel();
+    }
+
+    /// Returns the times of receipt of all requests, health checks included, that arrived from `from` on.
+    pub fn arrivals_from(&self, from: Duration) -> Vec<Duration> {
+        let arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        arrivals.iter().copied().filter(|at| *at >= from).collect()
+    }
+
+    /// Returns the time left in the cold phase, zero if the upstream isn't cold.
+    fn cold_left(&self) -> Duration {
+        let cold_until = *self.cold_until.lock().unwrap_or_else(PoisonError::into_inner);
+        cold_until.map_or(Duration::ZERO, |end| end.saturating_duration_since(Instant::now()))
+    }
+
     /// Returns the time since its start.
     pub fn age(&self) -> Duration {
         self.started.elapsed()
@@ -196,6 +229,7 @@
                 socket.write_all(&response("421 Misdirected Request", &head, "")).await?;
                 continue;
             }
+            self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(req.at);
             if req.line == format!("GET {HEALTH_PATH}") {
                 self.answer_health_check(&mut socket).await?;
                 continue;
@@ -283,6 +317,11 @@
             self.instance,
             self.load_header()
         ));
+        let cold_left = self.cold_left();
+        let head = match cold_left.as_millis() {
+            0 => head,
+            ms => format!("{head}\r\nx-pistachiolane-warmup-ms: {ms}"),
+        };
         socket.write_all(&response("200 OK", &head, "")).await
     }
 
--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -63,6 +63,15 @@
     lab::stand_in::configuration(version, &routes, &["huvo"])
 }
 
+/// Adds a column to one of the tables of a configuration, with the same value in each row.
+pub fn add_column(configuration: &mut Value, table: &str, column: &str, value: &Value) {
+    let table = &mut configuration[table];
+    table["columns"].as_array_mut().unwrap().push(json!(column));
+    for row in table["rows"].as_array_mut().unwrap() {
+        row.as_array_mut().unwrap().push(value.clone());
+    }
+}
+
 /// Starts a node with an upstream of default capacity that is not announced yet.
 pub async fn start_host(store: Arc<PlatformStandIn>) -> TestHost {
     start_host_with_capacity(store, Capacity::default()).await
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -4,7 +4,7 @@
     super::{AdaptiveLimit, AdmissionRequest, Slots, Slowness, StatedRate},
     crate::{
         schema::{GateState, LoadReport},
-        tick::Tick,
+        tick::{Tick, micros},
     },
     std::{
         sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
@@ -25,6 +25,12 @@
 /// Share of the slots, in percent, up to which attempts that will miss their target latency are admitted.
 const LATE_SLOTS_PERCENT: u32 = 70;
 
+/// Service time that is assumed under a rate in force until a request has shown it.
+const UNKNOWN_SERVICE_TIME: Duration = Duration::from_millis(50);
+
+/// Largest number of queued requests that a load report shows for the wait that a rate causes.
+const MAX_HELD_REQUESTS: u32 = 1_000;
+
 /// Longest time from the moment at which the stated rate allows a start until the queue starts an attempt: two
 /// intervals of its checks. Without it, attempts would be admitted that miss their target latency by moments and
 /// then wait behind all that can meet theirs.
@@ -112,7 +118,7 @@
     upstream_present: AtomicBool,
     /// Current slowness, as the upstream itself reports it.
     pub slowness: Slowness,
-    /// Rate of requests that the upstream states to accept.
+    /// Rate of requests that the upstream accepts, as it states or while it is cold.
     pub stated_rate: StatedRate,
 }
 
@@ -148,11 +154,6 @@
         self.upstream_draining.store(draining, Ordering::SeqCst);
     }
 
-    /// Reports the upstream as warming for `duration` from now on.
-    pub fn warm_up(&self, now: Tick, duration: Duration) {
-        self.warming_until.store((now + duration).0, Ordering::Relaxed);
-    }
-
     /// Records that the upstream is no longer announced.
     pub fn mark_upstream_absent(&self) {
         self.upstream_present.store(false, Ordering::SeqCst);
@@ -225,7 +226,7 @@
         }
     }
 
-    /// Takes a slot for a request that starts now, if one is free and the stated rate allows a start.
+    /// Takes a slot for a request that starts now, if one is free and the rate in force allows a start.
     pub fn try_start(&self, now: Tick) -> bool {
         if !self.slots.try_take(self.limit.get()) {
             return false;
@@ -270,30 +271,51 @@
 
     /// Returns a load report with a higher sequence number than all before.
     pub fn next_load_report(&self, now: Tick) -> LoadReport {
+        let slots = self.usable_slots(now);
+        let queued = self.queued.load(Ordering::SeqCst).max(self.requests_held_by_rate(now, slots));
         LoadReport {
             sequence: self.sequence.fetch_add(1, Ordering::SeqCst) + 1,
-            slots: self.usable_slots() as u16,
+            slots: slots as u16,
             running: self.slots.running() as u16,
-            queued: self.queued.load(Ordering::SeqCst) as u16,
+            queued: u16::try_from(queued).unwrap_or(u16::MAX),
             latency_us: u32::try_from(self.limit.latency_us()).unwrap_or(u32::MAX),
             slowness_percent: self.slowness.relative_percent(now) as u16,
             state: self.state(now),
         }
     }
 
-    /// Returns the number of slots that can be in use at once, which a stated rate lowers.
-    fn usable_slots(&self) -> u32 {
+    /// Returns the number of slots that can be in use at once, which a rate in force lowers.
+    fn usable_slots(&self, now: Tick) -> u32 {
         let slots = self.limit.get();
-        let concurrency = self.stated_rate.concurrency(self.limit.latency_us());
+        let concurrency = self.stated_rate.concurrency(now, self.service_time_us());
         concurrency.map_or(slots, |running| running.min(slots))
     }
 
+    /// Returns the number of queued requests that would delay the next start as long as the rate in force does. An
+    /// upstream with a low rate and a short service time has a free slot nearly always, but can't start a request.
+    fn requests_held_by_rate(&self, now: Tick, slots: u32) -> u32 {
+        let wait_us = micros(self.stated_rate.wait(now, 1));
+        let held = (wait_us * u64::from(slots)).div_ceil(self.service_time_us());
+        held.min(u64::from(MAX_HELD_REQUESTS)) as u32
+    }
+
+    fn service_time_us(&self) -> u64 {
+        match self.limit.latency_us() {
+            0 => micros(UNKNOWN_SERVICE_TIME),
+            latency_us => latency_us,
+        }
+    }
+
     fn state(&self, now: Tick) -> GateState {
         let upstream_present = self.upstream_present.load(Ordering::SeqCst);
         match now {
             _ if self.is_draining() || !upstream_present => GateState::Draining,
             _ if self.limit.is_failing(now) => GateState::Shedding,
-            _ if now.0 < self.warming_until.load(Ordering::Relaxed) => GateState::Warming,
+            _ if now.0 < self.warming_until.load(Ordering::Relaxed)
+                || self.stated_rate.cold.is_cold(now) =>
+            {
+                GateState::Warming
+            }
             _ => GateState::Ready,
         }
     }
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -4,6 +4,7 @@
 mod adaptive_limit;
 mod admission_request;
 mod average;
+mod cold_state;
 mod gate;
 mod platform_share;
 mod quantile;
@@ -20,6 +21,7 @@
     adaptive_limit::AdaptiveLimit,
     admission_request::AdmissionRequest,
     average::Average,
+    cold_state::{ColdChange, ColdSource, ColdState},
     gate::{AdmissionDecision, Gate, RefusalReason},
     platform_share::{
         MILLICALLS_PER_CALL, WATCHERS_PER_REGION, platform_budget_millicalls,
--- a/pistachiolane/src/limits/token_bucket.rs
+++ b/pistachiolane/src/limits/token_bucket.rs
@@ -38,6 +38,24 @@
         self.burst.store(burst, Ordering::Relaxed);
     }
 
+    /// Removes all tokens from the bucket.
+    pub fn empty(&self, now: Tick) {
+        self.next_arrival_ns.store(self.empty_ns(now), Ordering::Release);
+    }
+
+    /// Removes a debt that an earlier, lower rate left, so that the bucket is empty at most.
+    pub fn forgive_debt(&self, now: Tick) {
+        self.next_arrival_ns.fetch_min(self.empty_ns(now), Ordering::AcqRel);
+    }
+
+    /// Returns the arrival time of the next token of an empty bucket.
+    fn empty_ns(&self, now: Tick) -> u64 {
+        let rate = self.rate.load(Ordering::Relaxed);
+        let burst = self.burst.load(Ordering::Relaxed);
+        let now_ns = now.0.saturating_mul(1_000);
+        if rate == 0 { now_ns } else { now_ns.saturating_add(cost_ns(burst, rate)) }
+    }
+
     /// Takes `tokens` from the bucket; `false` if it has fewer.
     pub fn try_take(&self, now: Tick, tokens: u64) -> bool {
         let rate = self.rate.load(Ordering::Relaxed);
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -20,7 +20,7 @@
     Expired(T),
     /// The upstream is draining or no longer announces itself; the item is not run there.
     UpstreamUnavailable(T),
-    /// The queue exceeds its bound and the item was the newest of the longest sub-queue of the least
+    /// The queue exceeds its bound, or what the rate in force starts in time, and the item was the newest of the longest sub-queue of the least
     /// urgent priority; it is not run.
     Shed(T),
 }
@@ -113,7 +113,7 @@
             gate.release_queue_place();
             return Some(Dequeued::UpstreamUnavailable(attempt.item));
         }
-        if self.len() > gate.queue_bound() as usize {
+        if self.len() > gate.queue_bound() as usize || self.last_is_too_late(now, gate) {
             gate.release_queue_place();
             return self.shed_newest_of_longest().map(Dequeued::Shed);
         }
@@ -171,11 +171,24 @@
             .unwrap_or(0)
     }
 
+    /// Whether the rate in force starts the attempt that would be shed only after its deadline. A rate that came into
+    /// force after attempts were queued thus refuses those at once that it leaves no room for.
+    fn last_is_too_late(&self, now: Tick, gate: &Gate) -> bool {
+        let position = u32::try_from(self.len()).unwrap_or(u32::MAX);
+        let wait = gate.stated_rate.wait(now, position);
+        let last = self.longest_of_least_urgent().and_then(|key| self.sub_queues.get(key)?.back());
+        !wait.is_zero() && last.is_some_and(|a| now + wait > a.start_deadlines.deadline)
+    }
+
+    /// Returns the longest sub-queue within the least urgent priority.
+    fn longest_of_least_urgent(&self) -> Option<&QueueKey> {
+        let sub_queues = self.sub_queues.iter();
+        sub_queues.max_by_key(|(key, attempts)| (key.priority, attempts.len())).map(|(key, _)| key)
+    }
+
     /// Removes the newest attempt of the longest sub-queue within the least urgent priority.
     fn shed_newest_of_longest(&mut self) -> Option<T> {
-        let longest =
-            self.sub_queues.iter().max_by_key(|(key, attempts)| (key.priority, attempts.len()));
-        let key = longest.map(|(key, _)| key.clone())?;
+        let key = self.longest_of_least_urgent()?.clone();
         let attempts = self.sub_queues.get_mut(&key)?;
         let attempt = attempts.pop_back()?;
         if attempts.is_empty() {
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -191,6 +191,10 @@
     settings_age_ms: Gauge,
     /// Requests per second that the local upstream states to accept; 0 while it states no limit.
     upstream_rate_limit: RateGauge,
+    /// Requests per second that the local upstream tolerates while cold; 0 while it isn't cold or there is no limit.
+    upstream_cold_rate: RateGauge,
+    /// Statements and lost connections from which the local upstream was taken to be cold, by source.
+    upstream_cold: Cases,
     /// Invariant violations since the process started.
     invariant_violations: Gauge,
 }
--- a/pistachiolane/src/node/admin/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -6,7 +6,7 @@
         config::ROOT,
         invariants,
         metrics::Metrics,
-        routing::{Estimate, ServiceBaseline, ServiceTable},
+        routing::{Candidate, Estimate, ServiceBaseline, ServiceTable},
         schema::{GateState, Health},
     },
     serde_json::{Value, json},
@@ -37,6 +37,7 @@
         "zone": shared.settings.zone,
         "ready": shared.is_ready(),
         "draining": shared.draining(),
+        "cold": cold_status(shared),
         "members": members_by_region,
         "services": services,
         "settings": versions,
@@ -80,15 +81,32 @@
     })
 }
 
+/// Returns the cold phase of the local upstream; null if it isn't cold.
+fn cold_status(shared: &Shared) -> Value {
+    let (now, rate) = (shared.now(), &shared.admission.gate.stated_rate);
+    if !rate.cold.is_cold(now) {
+        return Value::Null;
+    }
+    json!({
+        // Null while the upstream is only assumed to be cold.
+        "left_ms": rate.cold.until(now).map(|until| until.since(now).as_millis() as u64),
+        "source": rate.cold.source().name(),
+        "requests_per_second": rate.warm_up(),
+    })
+}
+
 fn service_status(shared: &Shared, service: &Arc<ServiceTable>) -> Value {
     let now = shared.now();
     let usable = service.candidates.iter().filter(|c| c.is_usable(now)).count();
     let ejected = service.candidates.iter().filter(|c| c.is_ejected(now)).count();
+    let is_warming = |c: &&Arc<Candidate>| c.state() == GateState::Warming;
+    let warming = service.candidates.iter().filter(is_warming).count();
     let declared = shared.settings_tree.load().service(&service.name).is_some();
     json!({
         "upstreams": service.candidates.len(),
         "usable": usable,
         "ejected": ejected,
+        "warming": warming,
         "declared": declared,
         "retries_available": service.state.retries.available(),
     })
--- a/pistachiolane/src/node/gate/announcements.rs
+++ b/pistachiolane/src/node/gate/announcements.rs
@@ -4,6 +4,7 @@
     crate::node::{
         control::control_loop::ControlHandle,
         gate::{
+            cold_upstream::{apply_announced, apply_first_announced},
             gate_server::GateServer,
             upstream_statements::{
                 StatementSource, apply_statements, read_first_statements, states_leaving,
@@ -77,6 +78,7 @@
     upstream: &mut LocalUpstream,
     event: UpstreamEvent,
 ) -> UpstreamChange {
+    let stated_cold_ms = cold_ms(&event);
     let change = upstream.apply(shared.now(), event);
     log_outdated(change);
     let Some(announced) = upstream.current().cloned() else {
@@ -85,22 +87,36 @@
     let known = shared.upstream.load_full();
     if known.is_some_and(|known| is_same_incarnation(&known, &announced)) {
         apply(shared, &announced);
+        // An outdated announcement says nothing about the present.
+        if let Some(cold_ms) = stated_cold_ms.filter(|_| change != UpstreamChange::Outdated) {
+            apply_announced(shared, &announced, Duration::from_millis(cold_ms));
+        }
         return change;
     }
     // The previous incarnation has ended, and its limit with it.
     shared.admission.remove_upstream();
     shared.admission.gate.stated_rate.set(None);
+    apply_first_announced(shared, &announced, Duration::from_millis(announced.cold_ms.into()));
+    let asked = shared.now();
     let statements = read_first_statements(shared, gate, &announced).await;
     if statements.as_ref().is_some_and(|headers| states_leaving(&shared.dialect, headers)) {
         upstream.apply(shared.now(), stopping(&announced));
     }
     apply(shared, upstream.current().unwrap_or(&announced));
     if let Some(headers) = statements {
-        apply_statements(shared, &announced, &headers, StatementSource::Other);
+        apply_statements(shared, &announced, &headers, StatementSource::Health { asked });
     }
     change
 }
 
+/// Returns the milliseconds for which an announcement states that the upstream stays cold.
+fn cold_ms(event: &UpstreamEvent) -> Option<u64> {
+    match event {
+        UpstreamEvent::Announced(announcement) => Some(announcement.cold_ms.into()),
+        UpstreamEvent::Stopping { .. } => None,
+    }
+}
+
 fn stopping(announced: &Announcement) -> UpstreamEvent {
     UpstreamEvent::Stopping {
         instance: announced.instance.clone(),
@@ -126,10 +142,8 @@
     // Each request uses its own connection, so the connection limit also limits the slots.
     let slots = max_connections
         .map_or(announcement.slots, |max| announcement.slots.min(max.min(u16::MAX.into()) as u16));
+    shared.update_warm_up_rate();
     shared.admission.announce(now, &announcement.service, slots, announcement.draining);
-    if announcement.cold_ms > 0 {
-        shared.admission.gate.warm_up(now, Duration::from_millis(u64::from(announcement.cold_ms)));
-    }
 }
 
 async fn publish(shared: &Shared, control: &ControlHandle, announcement: &Announcement) {
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -5,6 +5,7 @@
         accept::accept,
         body::{Body, GuardedBody, full, stream},
         gate::{
+            cold_upstream::assume_cold,
             crash_detector::CrashDetector,
             queue_task::{QueueDecision, QueueItem, SlotGuard},
             upstream_pool::{UpstreamConnection, UpstreamError, UpstreamPool},
@@ -404,7 +405,7 @@
             waited_ms = waited.as_millis() as u64, elapsed_ms = elapsed.as_millis() as u64,
             running = report.running, queued = report.queued,
             slowness_percent = report.slowness_percent,
-            rate_limit = self.shared.admission.gate.stated_rate.get().unwrap_or(0.0);
+            rate_limit = self.shared.rate_limit();
             "attempt ran"
         );
     }
@@ -420,7 +421,9 @@
         if let Some(current) = self.incarnation.load().as_ref().filter(|i| is_announced(i)) {
             return Arc::clone(&current.pool);
         }
-        let pool = Arc::new(UpstreamPool::new(announced.address));
+        let (shared, lost) = (Arc::clone(&self.shared), announced.clone());
+        let on_lost = move |why: &str| assume_cold(&shared, &lost, why);
+        let pool = Arc::new(UpstreamPool::new(announced.address, Arc::new(on_lost)));
         self.incarnation.store(Some(Arc::new(Incarnation {
             instance: announced.instance.clone(),
             started_ms: announced.started_ms,
@@ -488,9 +491,6 @@
         deadline: Tick,
         res: Response<Incoming>,
     ) -> Response<Body> {
-        if let Some(connection) = &mut pooled.connection {
-            connection.record_idle_timeout(res.headers());
-        }
         let (parts, body) = res.into_parts();
         let exact_size = body.size_hint().exact();
         let body = if exact_size.is_some_and(|size| size <= MAX_BUFFERED_RESPONSE_BYTES) {
@@ -593,7 +593,7 @@
             target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service,
             reason = reason.name(), running = report.running, queued = report.queued,
             slots = report.slots, budget_us = attempt.budget_us,
-            rate_limit = self.shared.admission.gate.stated_rate.get().unwrap_or(0.0);
+            rate_limit = self.shared.rate_limit();
             "attempt refused, not run"
         );
         responses::refused(reason, &report)
--- a/pistachiolane/src/node/gate/load_probe.rs
+++ b/pistachiolane/src/node/gate/load_probe.rs
@@ -42,8 +42,8 @@
         let slowness = &shared.admission.gate.slowness;
         // An upstream that has shown no slowness yet may never do so.
         let is_stale = slowness.age(shared.now()).is_some_and(|age| age > STALE_AFTER);
-        // A stated limit counts probes as well; the few requests that it leaves show the load.
-        let is_limited = shared.admission.gate.stated_rate.get().is_some();
+        // A limit may count probes as well; the few requests that it leaves show the load.
+        let is_limited = shared.admission.gate.stated_rate.in_force(shared.now()).is_some();
         let is_useful = is_stale && !is_limited && slowness.may_defer(service_time);
         if is_useful {
             self.requested.notify_one();
@@ -65,14 +65,8 @@
 pub async fn run_load_probes(shared: Arc<Shared>, gate: Arc<GateServer>) {
     loop {
         shared.load_probe.requested.notified().await;
-        if let Some(announced) = shared.upstream.load_full()
-            && let Some((path, pool)) = probe_target(&shared, &gate, &announced)
-        {
-            let probe = probe(&shared, &path, &pool, &announced);
-            if let Some(headers) = timeout(PROBE_TIMEOUT, probe).await.ok().flatten() {
-                gate.record_slowness(&headers);
-                apply_statements(&shared, &announced, &headers, StatementSource::Other);
-            }
+        if let Some(announced) = shared.upstream.load_full() {
+            read_health(&shared, &gate, &announced, PROBE_TIMEOUT).await;
         }
         shared.load_probe.finished.notify_waiters();
         shared.queue.wake();
@@ -80,6 +74,27 @@
     }
 }
 
+/// Reads the health response of the upstream `announced` and puts what it states in force; returns whether there was
+/// one in time.
+pub(in crate::node) async fn read_health(
+    shared: &Shared,
+    gate: &GateServer,
+    announced: &Announcement,
+    limit: Duration,
+) -> bool {
+    let Some((path, pool)) = probe_target(shared, gate, announced) else {
+        return false;
+    };
+    let asked = shared.now();
+    let probe = probe(shared, &path, &pool, announced);
+    let Some(headers) = timeout(limit, probe).await.ok().flatten() else {
+        return false;
+    };
+    gate.record_slowness(&headers);
+    apply_statements(shared, announced, &headers, StatementSource::Health { asked });
+    true
+}
+
 /// Returns the path on which an upstream shows its state, and the connections to it.
 pub(in crate::node) fn probe_target(
     shared: &Shared,
--- a/pistachiolane/src/node/gate/mod.rs
+++ b/pistachiolane/src/node/gate/mod.rs
@@ -1,6 +1,7 @@
 //! The gate side of a node: admission and the connections to the local upstream.
 
 pub(in crate::node) mod announcements;
+pub(in crate::node) mod cold_upstream;
 pub(in crate::node) mod crash_detector;
 pub(in crate::node) mod gate_server;
 pub(in crate::node) mod load_probe;
--- a/pistachiolane/src/node/gate/upstream_pool.rs
+++ b/pistachiolane/src/node/gate/upstream_pool.rs
@@ -9,8 +9,8 @@
     arc_swap::ArcSwapOption,
     http_body_util::{BodyExt, Limited},
     hyper::{
-        HeaderMap, Request, Response, body::Incoming, client::conn::http1,
-        client::conn::http1::SendRequest,
+        HeaderMap, Request, Response, Version, body::Incoming, client::conn::http1,
+        client::conn::http1::SendRequest, header,
     },
     hyper_util::rt::TokioIo,
     std::{
@@ -65,12 +65,32 @@
     Lost(hyper::Error),
 }
 
+/// Called with the cause when a connection is lost in a way that a restart of the upstream explains.
+pub type OnLost = Arc<dyn Fn(&str) + Send + Sync>;
+
+/// Use of a connection, by which its end is judged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionUse {
+    /// It carries a request; the request shows the end.
+    Busy,
+    /// It is idle. The upstream may close it from this time on, if there is one.
+    Idle(Option<Instant>),
+    /// It has ended.
+    Ended,
+}
+
 /// Connection to the upstream, with the idle time for which it can be reused.
 pub struct UpstreamConnection {
     sender: SendRequest<Body>,
     task: AbortHandle,
     idle_since: Instant,
     max_idle: Duration,
+    /// Idle time after which the upstream closes the connection, if it announces one.
+    idle_timeout: Option<Duration>,
+    /// Whether the upstream announced that it closes the connection after the response.
+    closes: bool,
+    /// Locked only by the owner of the connection and when the connection ends.
+    connection_use: Arc<Mutex<ConnectionUse>>,
 }
 
 /// Element of the linked list of idle connections.
@@ -86,12 +106,13 @@
 pub struct UpstreamPool {
     address: SocketAddr,
     idle: ArcSwapOption<IdleConnection>,
+    on_lost: OnLost,
 }
 
 impl UpstreamPool {
     /// Creates a pool without connections.
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, idle: ArcSwapOption::empty() }
+    pub fn new(address: SocketAddr, on_lost: OnLost) -> Self {
+        Self { address, idle: ArcSwapOption::empty(), on_lost }
     }
 
     /// Sends a request over an idle or a new connection, and returns the response with that
@@ -100,6 +121,24 @@
     /// # Errors
     /// Returns [`UpstreamError::Unsent`] only if no byte of the request was sent.
     pub async fn send(
+        &self,
+        req: Request<Body>,
+        repeatable: bool,
+    ) -> Result<(Response<Incoming>, UpstreamConnection), UpstreamError> {
+        let result = self.send_over_connection(req, repeatable).await;
+        match result {
+            Ok((res, mut connection)) => {
+                connection.record_response(&res);
+                Ok((res, connection))
+            }
+            Err(e) => {
+                (self.on_lost)(&e.to_string());
+                Err(e)
+            }
+        }
+    }
+
+    async fn send_over_connection(
         &self,
         mut req: Request<Body>,
         repeatable: bool,
@@ -140,7 +179,14 @@
 
     /// Returns a connection to the pool after its response was read to the end.
     pub fn return_connection(&self, mut connection: UpstreamConnection) {
+        if connection.closes {
+            return;
+        }
         connection.idle_since = Instant::now();
+        if !connection.start_idle() {
+            (self.on_lost)("connection closed after a response");
+            return;
+        }
         let connection = Mutex::new(Some(connection));
         let mut idle = IdleConnection { connection, next: None };
         loop {
@@ -169,7 +215,7 @@
             let Some(connection) = is_removed.then(|| take_connection(&first)).flatten() else {
                 continue;
             };
-            if connection.is_usable(repeatable) {
+            if connection.is_usable(repeatable) && connection.end_idle() {
                 return Some(connection);
             }
         }
@@ -188,7 +234,7 @@
                 Ok(Err(e)) => return e.kind() == io::ErrorKind::ConnectionRefused,
                 Err(_) => return false,
             };
-            let Ok(connection) = Self::open(socket).await else {
+            let Ok(connection) = self.open(socket).await else {
                 return false;
             };
             sleep(END_CONFIRMATION).await;
@@ -203,37 +249,81 @@
         let unsent = |e: &dyn fmt::Display| UpstreamError::Unsent(e.to_string());
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await;
         let socket = connecting.map_err(|e| unsent(&e))?.map_err(|e| unsent(&e))?;
-        Self::open(socket).await
+        self.open(socket).await
     }
 
-    async fn open(socket: TcpStream) -> Result<UpstreamConnection, UpstreamError> {
+    async fn open(&self, socket: TcpStream) -> Result<UpstreamConnection, UpstreamError> {
         let unsent = |e: &dyn fmt::Display| UpstreamError::Unsent(e.to_string());
         configure(&socket).map_err(|e| unsent(&e))?;
         let mut http = http1::Builder::new();
         http.max_buf_size(MAX_HEAD_BYTES);
         let handshake = http.handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(|e| unsent(&e))?;
+        let connection_use = Arc::new(Mutex::new(ConnectionUse::Busy));
+        let (on_lost, used) = (Arc::clone(&self.on_lost), Arc::clone(&connection_use));
         let task = tokio::spawn(async move {
-            if let Err(e) = connection.await {
-                log::debug!(target: "upstream", "connection to the upstream failed: {e}");
+            let result = connection.await;
+            let last_use = set_use(&used, ConnectionUse::Ended);
+            match (result, last_use) {
+                (Err(e), _) => {
+                    log::debug!(target: "upstream", "connection to the upstream failed: {e}");
+                    on_lost(&e.to_string());
+                }
+                (Ok(()), ConnectionUse::Idle(may_close_from))
+                    if may_close_from.is_none_or(|from| Instant::now() < from) =>
+                {
+                    on_lost("idle connection closed");
+                }
+                _ => {}
             }
         });
-        let task = task.abort_handle();
-        Ok(UpstreamConnection { sender, task, idle_since: Instant::now(), max_idle: MAX_IDLE_TIME })
+        Ok(UpstreamConnection {
+            sender,
+            task: task.abort_handle(),
+            idle_since: Instant::now(),
+            max_idle: MAX_IDLE_TIME,
+            idle_timeout: None,
+            closes: false,
+            connection_use,
+        })
     }
 }
 
 impl UpstreamConnection {
-    /// Records the idle timeout that a response announces for the connection.
-    pub fn record_idle_timeout(&mut self, headers: &HeaderMap) {
+    /// Records what a response announces for the connection: its idle timeout, and whether it closes.
+    fn record_response(&mut self, res: &Response<Incoming>) {
+        let headers = res.headers();
+        self.closes = closes_connection(headers) || res.version() < Version::HTTP_11;
         let value = headers.get(KEEP_ALIVE).and_then(|v| v.to_str().ok());
         let seconds = value.and_then(|v| {
             v.split(',').find_map(|p| p.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
         });
         if let Some(seconds) = seconds {
-            self.max_idle =
-                (Duration::from_secs(seconds) / IDLE_TIMEOUT_DIVISOR).min(MAX_IDLE_TIME);
+            let timeout = Duration::from_secs(seconds);
+            self.idle_timeout = Some(timeout);
+            self.max_idle = (timeout / IDLE_TIMEOUT_DIVISOR).min(MAX_IDLE_TIME);
+        }
+    }
+
+    /// Marks the connection as idle; `false` if it has ended.
+    fn start_idle(&self) -> bool {
+        let may_close_from = self.idle_timeout.map(|t| self.idle_since + t / IDLE_TIMEOUT_DIVISOR);
+        let mut current = self.connection_use.lock().unwrap_or_else(PoisonError::into_inner);
+        if *current == ConnectionUse::Ended {
+            return false;
         }
+        *current = ConnectionUse::Idle(may_close_from);
+        true
+    }
+
+    /// Marks the connection as busy; `false` if it has ended.
+    fn end_idle(&self) -> bool {
+        let mut current = self.connection_use.lock().unwrap_or_else(PoisonError::into_inner);
+        if *current == ConnectionUse::Ended {
+            return false;
+        }
+        *current = ConnectionUse::Busy;
+        true
     }
 
     fn is_usable(&self, repeatable: bool) -> bool {
@@ -262,6 +352,19 @@
     }
 }
 
+fn set_use(connection_use: &Mutex<ConnectionUse>, next: ConnectionUse) -> ConnectionUse {
+    let mut current = connection_use.lock().unwrap_or_else(PoisonError::into_inner);
+    std::mem::replace(&mut *current, next)
+}
+
+/// Whether a response states that its connection closes after it.
+fn closes_connection(headers: &HeaderMap) -> bool {
+    headers.get_all(header::CONNECTION).iter().any(|value| {
+        let options = value.to_str().unwrap_or("").split(',');
+        options.map(str::trim).any(|option| option.eq_ignore_ascii_case("close"))
+    })
+}
+
 fn take_connection(idle: &IdleConnection) -> Option<UpstreamConnection> {
     idle.connection.lock().unwrap_or_else(PoisonError::into_inner).take()
 }
--- a/pistachiolane/src/node/gate/upstream_statements.rs
+++ b/pistachiolane/src/node/gate/upstream_statements.rs
@@ -5,12 +5,13 @@
     crate::node::{
         dialect::HeaderDialect,
         gate::{
+            cold_upstream::apply_health,
             gate_server::GateServer,
             load_probe::{probe, probe_target},
         },
         shared::Shared,
     },
-    crate::{membership::is_same_incarnation, schema::Announcement},
+    crate::{membership::is_same_incarnation, schema::Announcement, tick::Tick},
     hyper::HeaderMap,
     std::{sync::Arc, time::Duration},
     tokio::time::{sleep, timeout},
@@ -28,7 +29,12 @@
 pub enum StatementSource {
     /// Response to a request that ran, which carries every statement that holds.
     Response,
-    /// Rejection or response to a health check, which may lack a statement that holds.
+    /// Response to a health check that was sent at `asked`; it may lack the rate that holds, but states a cold phase.
+    Health {
+        /// Time at which the health check was sent.
+        asked: Tick,
+    },
+    /// Rejection, which may lack a statement that holds.
     Other,
 }
 
@@ -59,6 +65,9 @@
         shared.leaving_upstream.send_replace(Some(announced.clone()));
     }
     apply_rate(shared, announced, headers, source);
+    if let StatementSource::Health { asked } = source {
+        apply_health(shared, announced, headers, asked);
+    }
 }
 
 fn apply_rate(
@@ -103,7 +112,8 @@
     gate: &GateServer,
     announced: &Announcement,
 ) -> Option<HeaderMap> {
-    if shared.dialect.leaving.is_none() && shared.dialect.rate_limit.is_none() {
+    let dialect = &shared.dialect;
+    if dialect.leaving.is_none() && dialect.rate_limit.is_none() && dialect.warm_up.is_none() {
         return None;
     }
     let read = async {
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -12,8 +12,8 @@
         entry::{attempt_driver::AttemptDriver, entry_server::Entry},
         error::NodeError,
         gate::{
-            announcements::run_announcements, gate_server::GateServer, load_probe::run_load_probes,
-            queue_task::run_queue,
+            announcements::run_announcements, cold_upstream::run_cold_checks,
+            gate_server::GateServer, load_probe::run_load_probes, queue_task::run_queue,
         },
         integration::Integration,
         node_handle::NodeHandle,
@@ -100,6 +100,7 @@
 
     tokio::spawn(run_queue(Arc::clone(&shared), queue_items));
     tokio::spawn(run_load_probes(Arc::clone(&shared), Arc::clone(&gate)));
+    tokio::spawn(run_cold_checks(Arc::clone(&shared), Arc::clone(&gate)));
     tokio::spawn(control_loop.run());
     tokio::spawn(socket.receive(control.clone()));
     tokio::spawn(server.serve(control_listener));
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -84,6 +84,8 @@
     pub quarantine: Quarantine,
     /// Probes of the local upstream's load.
     pub load_probe: LoadProbe,
+    /// Notified when the cold phase of the local upstream has changed or must be checked.
+    pub cold_check: Notify,
     /// Connections to the gates of other nodes.
     pub hops: Hops,
     /// Number of attempts that this entry has created; the source of their sequence numbers.
@@ -144,6 +146,7 @@
             quarantine: Quarantine::default(),
             leaving_upstream: watch::Sender::new(None),
             load_probe: LoadProbe::default(),
+            cold_check: Notify::new(),
             hops: Hops::default(),
             attempt_sequence: AtomicU64::new(0),
             probes: TokenBucket::new(DEFAULT_PROBES_PER_SECOND, DEFAULT_PROBES_PER_SECOND),
@@ -239,5 +242,20 @@
             inter_region_bytes_per_second * INTER_REGION_BURST_SECONDS,
         );
         self.settings_tree.store(Arc::new(tree));
+        self.update_warm_up_rate();
+    }
+
+    /// Sets the rate that the local upstream tolerates while cold to that of its service.
+    pub fn update_warm_up_rate(&self) {
+        let upstream = self.upstream.load();
+        let service = upstream.as_ref().map(|announced| &*announced.service);
+        let tree = self.settings_tree.load();
+        let rate = service.and_then(|service| tree.routes()?.warm_up_rate(service));
+        self.admission.gate.stated_rate.set_warm_up(rate);
+    }
+
+    /// Returns the rate in force at the gate in requests per second; 0 stands for no limit.
+    pub fn rate_limit(&self) -> f64 {
+        self.admission.gate.stated_rate.in_force(self.now()).unwrap_or(0.0)
     }
 }
