Authenticate callers by the keys of workspaces

Cause: with workspaces in the configuration, a request must run only with a known key, under the name of the workspace that holds it, and the key must stay in the node that received it.

Change: node/entry/authentication.rs accepts exactly one `Authorization` header with the scheme Bearer and one known key; anything else is answered with 401, after a missing route (404) and never before the first configuration (503). A pipelined request that would be rejected is not started early, so the settings at its turn decide. `Authorization` and trailers are not passed on; the gate sets the workspace's name, and its priority and regions replace or restrict those of the route. Routes that can't be parsed are answered with 503 instead of by service name, since they may require keys. A key of two workspaces is logged once per version. Metric `workspace_calls`, field `workspace` on the lines of a call, `keys` in the status.

--- a/pistachiolane/src/config/checks.rs
+++ b/pistachiolane/src/config/checks.rs
@@ -1,9 +1,10 @@
 //! Validation of a subtree's document before it is written.
 
 use {
-    super::{ROOT, ROUTES, ValidationError},
+    super::{EVACUATIONS, KeyDigest, ROOT, ROUTES, ValidationError, Workspace},
     crate::schema::{
         RootDocument, RouteSettings, RoutesDocument, Rule, ServiceSettings, TeamDocument,
+        WorkspaceSettings,
     },
     serde::de::DeserializeOwned,
     std::{
@@ -52,7 +53,13 @@
     let mut de = serde_json::Deserializer::from_str(text);
     serde_path_to_error::deserialize(&mut de).map_err(|e| {
         let path = e.path().to_string().replace(['.', '['], "/").replace(']', "");
-        vec![ValidationError::new(format!("{name}/{path}"), e.into_inner().to_string())]
+        // The parser's message quotes the value, which may be a key that was given in place of its digest.
+        let reason = if name == ROUTES && path.starts_with("workspaces") {
+            "does not match the schema".to_owned()
+        } else {
+            e.into_inner().to_string()
+        };
+        vec![ValidationError::new(format!("{name}/{path}"), reason)]
     })
 }
 
@@ -61,7 +68,7 @@
     let mut owners: BTreeMap<&Arc<str>, &String> = BTreeMap::new();
     for (team, entry) in &root.teams {
         check_name(&format!("{ROOT}/teams/{team}"), team, &mut errors);
-        if team == ROOT || team == ROUTES {
+        if [ROOT, ROUTES, EVACUATIONS].contains(&team.as_str()) {
             errors
                 .push(ValidationError::new(format!("{ROOT}/teams/{team}"), "the name is reserved"));
         }
@@ -99,9 +106,54 @@
             errors.push(ValidationError::new(&path, "another route has the same host and prefix"));
         }
     }
+    check_workspaces(&document.workspaces, &mut errors);
+    for (service, rate) in &document.warm_up_rates {
+        check_rate(&format!("{ROUTES}/warm_up_rates/{service}"), *rate, &mut errors);
+    }
     errors
 }
 
+/// Checks that each key identifies one workspace, and that upstreams receive the name of each unchanged.
+fn check_workspaces(workspaces: &[WorkspaceSettings], errors: &mut Vec<ValidationError>) {
+    let mut names = BTreeSet::new();
+    let mut holders: BTreeMap<KeyDigest, &Arc<str>> = BTreeMap::new();
+    for (index, workspace) in workspaces.iter().enumerate() {
+        let path = format!("{ROUTES}/workspaces/{index}");
+        let name = &workspace.name;
+        if !Workspace::is_valid_name(name) || name.len() > MAX_NAME_BYTES {
+            let reason = format!(
+                "expected 1 to {MAX_NAME_BYTES} bytes without control characters or outer spaces"
+            );
+            errors.push(ValidationError::new(format!("{path}/name"), reason));
+        }
+        if !names.insert(name) {
+            let reason = "another workspace has the same name";
+            errors.push(ValidationError::new(format!("{path}/name"), reason));
+        }
+        check_rate(&format!("{path}/requests_per_second"), workspace.requests_per_second, errors);
+        check_rate(&format!("{path}/burst"), workspace.burst, errors);
+        for (place, text) in workspace.key_digests.iter().enumerate() {
+            let path = format!("{path}/key_digests/{place}");
+            let Some(digest) = KeyDigest::from_hex(text) else {
+                // The text may be a key, so it is not repeated.
+                errors.push(ValidationError::new(path, "not a digest in hexadecimal"));
+                continue;
+            };
+            let holder = *holders.entry(digest).or_insert(name);
+            if holder != name {
+                let reason = format!("workspace `{holder}` has the same key");
+                errors.push(ValidationError::new(path, reason));
+            }
+        }
+    }
+}
+
+fn check_rate(path: &str, per_second: f64, errors: &mut Vec<ValidationError>) {
+    if !per_second.is_finite() || per_second < 0.0 {
+        errors.push(ValidationError::new(path, "must be a number of at least 0"));
+    }
+}
+
 fn check_route(path: &str, route: &RouteSettings, errors: &mut Vec<ValidationError>) {
     if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
         errors.push(ValidationError::new(format!("{path}/prefix"), "must begin and end with `/`"));
--- a/pistachiolane/src/config/route_table.rs
+++ b/pistachiolane/src/config/route_table.rs
@@ -43,13 +43,17 @@
     connections: HashMap<String, u32>,
     load_paths: HashMap<String, Arc<str>>,
     warm_up_rates: HashMap<String, f64>,
-    workspaces: HashMap<KeyDigest, Arc<Workspace>>,
+    workspaces: WorkspacesByKey,
+    /// Names of two workspaces for each key that is held by more than one, and so identifies none.
+    pub shared_keys: Vec<[Arc<str>; 2]>,
     /// Whether requests need the key of a workspace, unless their route is exempt.
     pub keys_required: bool,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
 
+type WorkspacesByKey = HashMap<KeyDigest, Arc<Workspace>>;
+
 impl Route {
     fn new(settings: &RouteSettings, limits: &CallerLimits) -> Self {
         let targets: Vec<Target> = settings
@@ -101,12 +105,14 @@
         let connections = document.connections.iter().map(|(k, v)| (k.clone(), *v)).collect();
         let load_paths =
             document.load_paths.iter().map(|(k, v)| (k.clone(), Arc::from(v.as_str()))).collect();
+        let (workspaces, shared_keys) = index_workspaces(document);
         Self {
             hosts,
             connections,
             load_paths,
             warm_up_rates: document.warm_up_rates.iter().map(|(k, v)| (k.clone(), *v)).collect(),
-            workspaces: index_workspaces(document),
+            workspaces,
+            shared_keys,
             keys_required: document.keys_required,
             limits,
         }
@@ -141,6 +147,11 @@
         self.workspaces.get(digest)
     }
 
+    /// Returns the number of keys that identify a workspace.
+    pub fn key_count(&self) -> usize {
+        self.workspaces.len()
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(HashMap::len).sum()
@@ -152,17 +163,22 @@
     }
 }
 
-/// Maps the digest of each key to its workspace; a key of two workspaces identifies neither.
-fn index_workspaces(document: &RoutesDocument) -> HashMap<KeyDigest, Arc<Workspace>> {
+/// Returns the workspace of each key by its digest, and the workspaces that share a key, which identifies neither.
+///
+/// A workspace whose name upstreams can't receive unchanged is skipped, because its requests would run under another
+/// name or none.
+fn index_workspaces(document: &RoutesDocument) -> (WorkspacesByKey, Vec<[Arc<str>; 2]>) {
     let mut workspaces: HashMap<KeyDigest, Option<Arc<Workspace>>> = HashMap::new();
-    for settings in &document.workspaces {
+    let mut shared_keys = Vec::new();
+    for settings in document.workspaces.iter().filter(|w| Workspace::is_valid_name(&w.name)) {
         let workspace = Arc::new(Workspace::new(settings));
         for digest in settings.key_digests.iter().filter_map(|text| KeyDigest::from_hex(text)) {
             let entry = workspaces.entry(digest).or_insert_with(|| Some(Arc::clone(&workspace)));
-            if entry.as_ref().is_some_and(|other| other.name != workspace.name) {
-                *entry = None;
+            if let Some(other) = entry.take_if(|other| other.name != workspace.name) {
+                shared_keys.push([Arc::clone(&other.name), Arc::clone(&workspace.name)]);
             }
         }
     }
-    workspaces.into_iter().filter_map(|(digest, workspace)| Some((digest, workspace?))).collect()
+    let by_digest = workspaces.into_iter().filter_map(|(digest, w)| Some((digest, w?))).collect();
+    (by_digest, shared_keys)
 }
--- a/pistachiolane/src/config/workspace.rs
+++ b/pistachiolane/src/config/workspace.rs
@@ -29,11 +29,16 @@
 }
 
 impl Workspace {
+    /// Whether upstreams receive a name unchanged in a header, and whether it differs from no name.
+    pub fn is_valid_name(name: &str) -> bool {
+        !name.is_empty() && name.trim() == name && !name.chars().any(char::is_control)
+    }
+
     /// Compiles a workspace of the settings.
     pub fn new(settings: &WorkspaceSettings) -> Self {
         let limit = WorkspaceLimit {
             requests_per_second: settings.requests_per_second,
-            burst: settings.burst,
+            burst: settings.burst.max(0.0),
         };
         Self {
             name: Arc::clone(&settings.name),
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -31,7 +31,14 @@
     end: &'static str,
 }
 
-/// Maximum number of routes and upstreams with their own series; further ones share the series [`OTHER`].
+/// Labels of a workspace's calls that ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct WorkspaceLabels {
+    workspace: String,
+    outcome: &'static str,
+}
+
+/// Maximum number of routes and upstreams, and of workspaces, with their own series; further ones share the series [`OTHER`].
 const MAX_SERIES_NAMES: usize = 512;
 
 /// Label value of the series that all names beyond [`MAX_SERIES_NAMES`] share.
@@ -97,18 +104,45 @@
         self.attempts.get_or_create(&labels).observe(duration.as_secs_f64());
     }
 
-    /// Returns the label value for a route or upstream: its name, or [`OTHER`] beyond the maximum.
     fn series_name(&self, name: &str) -> String {
-        let names = self.series_names.pin();
-        if names.contains(name) {
-            return name.to_owned();
-        }
-        if names.len() >= MAX_SERIES_NAMES {
-            return OTHER.to_owned();
-        }
-        names.insert(name.to_owned());
-        name.to_owned()
+        bounded_name(&self.series_names, name)
+    }
+}
+
+/// Counters of calls by workspace and outcome, with a bounded number of series.
+#[derive(Debug, Default)]
+pub struct WorkspaceMetrics {
+    calls: Family<WorkspaceLabels, Counter>,
+    /// Workspaces that have their own series.
+    names: HashSet<String>,
+}
+
+impl WorkspaceMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let help = "Calls of callers with a key, by workspace and outcome";
+        registry.register("workspace_calls", help, metrics.calls.clone());
+        metrics
+    }
+
+    /// Counts a call that ended.
+    pub fn count(&self, workspace: &str, outcome: &'static str) {
+        let workspace = bounded_name(&self.names, workspace);
+        self.calls.get_or_create(&WorkspaceLabels { workspace, outcome }).inc();
+    }
+}
+
+/// Returns a label value: the name, or [`OTHER`] if `names` has [`MAX_SERIES_NAMES`] others.
+fn bounded_name(names: &HashSet<String>, name: &str) -> String {
+    let names = names.pin();
+    if names.contains(name) {
+        return name.to_owned();
+    }
+    if names.len() >= MAX_SERIES_NAMES {
+        return OTHER.to_owned();
     }
+    names.insert(name.to_owned());
+    name.to_owned()
 }
 
 /// Counters by case.
@@ -121,6 +155,8 @@
             registry: Registry,
             /// Latencies of calls and attempts.
             pub latencies: LatencyMetrics,
+            /// Calls by workspace.
+            pub workspaces: WorkspaceMetrics,
             $($(#[doc = $doc])+ pub $name: $kind,)*
         }
 
@@ -134,7 +170,8 @@
                     registry.register(stringify!($name), help, $name.clone());
                 )*
                 let latencies = LatencyMetrics::register(&mut registry);
-                Self { registry, latencies, $($name,)* }
+                let workspaces = WorkspaceMetrics::register(&mut registry);
+                Self { registry, latencies, workspaces, $($name,)* }
             }
         }
     };
--- a/pistachiolane/src/node/admin/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -40,6 +40,7 @@
         "members": members_by_region,
         "services": services,
         "settings": versions,
+        "keys": keys_status(shared),
         "settings_age_ms": shared.settings_age.since_confirmed(shared.now()).as_millis() as u64,
         "invariant_violations": invariants::violations(),
     })
@@ -80,6 +81,18 @@
     })
 }
 
+/// Returns counts only: neither keys nor their digests are shown.
+fn keys_status(shared: &Shared) -> Value {
+    let tree = shared.settings_tree.load();
+    tree.routes().map_or(Value::Null, |routes| {
+        json!({
+            "required": routes.keys_required,
+            "known": routes.key_count(),
+            "shared_by_workspaces": routes.shared_keys.len(),
+        })
+    })
+}
+
 fn service_status(shared: &Shared, service: &Arc<ServiceTable>) -> Value {
     let now = shared.now();
     let usable = service.candidates.iter().filter(|c| c.is_usable(now)).count();
--- a/pistachiolane/src/node/control/control_loop.rs
+++ b/pistachiolane/src/node/control/control_loop.rs
@@ -8,7 +8,7 @@
         shared::Shared,
     },
     crate::{
-        config::{ActiveSubtrees, ApplyResult},
+        config::{ActiveSubtrees, ApplyResult, SettingsTree},
         limits::WATCHERS_PER_REGION,
         membership::{Members, MembershipAction, MembershipEvent},
         routing::RoutingTable,
@@ -43,6 +43,9 @@
 /// Minimum time between two reads of the store for settings that peers have not supplied.
 const OVERDUE_READ_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Most pairs of workspaces that a log line names.
+const MAX_LOGGED_PAIRS: usize = 8;
+
 /// Maximum number of commands that wait for the loop.
 const MAX_QUEUED_COMMANDS: usize = 4_096;
 
@@ -480,7 +483,11 @@
 
     fn put_in_force(&mut self, has_newer: bool) {
         if has_newer {
-            self.shared.apply_settings(self.active_subtrees.compile());
+            let tree = self.active_subtrees.compile();
+            if tree.routes_version() > self.shared.settings_tree.load().routes_version() {
+                warn_of_shared_keys(&tree);
+            }
+            self.shared.apply_settings(tree);
             self.members.set_settings_digest(self.active_subtrees.digest());
         }
     }
@@ -496,6 +503,21 @@
     }
 }
 
+/// Logs the workspaces whose callers get 401 because they hold the same key, once for each version of the routes.
+fn warn_of_shared_keys(tree: &SettingsTree) {
+    let shared_keys = tree.routes().map_or(&[][..], |routes| &routes.shared_keys);
+    if shared_keys.is_empty() {
+        return;
+    }
+    let pairs: Vec<String> =
+        shared_keys.iter().take(MAX_LOGGED_PAIRS).map(|pair| pair.join(" and ")).collect();
+    log::warn!(
+        target: "settings", version = tree.routes_version(), keys = shared_keys.len(),
+        workspaces = pairs.join(", ").as_str();
+        "keys of more than one workspace identify none"
+    );
+}
+
 fn apply_suspects(shared: &Shared, updates: &[SuspectUpdate]) {
     for update in updates {
         shared.quarantine.apply(shared.now(), update);
--- a/pistachiolane/src/node/entry/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -271,7 +271,7 @@
         log::info!(
             target: "entry", request = self.request_id, attempt = id.name().as_str(),
             service = &*self.table.name, upstream = to.member.gate.to_string().as_str(),
-            cause = cause.name(), may_queue, running = report.running, queued = report.queued,
+            workspace = &*self.req.workspace, cause = cause.name(), may_queue, running = report.running, queued = report.queued,
             slots = report.slots, report_age_ms = age_ms, outstanding = to.outstanding();
             "attempt sent"
         );
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -6,10 +6,11 @@
         body::{Body, PrefixedBody, TimedBody, stream},
         entry::{
             attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
+            authentication::KeyFault,
             caller_socket::CallerSocket,
             hop::probe_request,
             pipeline::{EarlyCall, Pipeline},
-            resolved_route::ResolvedRoute,
+            resolved_route::{ResolvedRoute, RouteFault},
         },
         headers, responses,
         shared::Shared,
@@ -26,7 +27,7 @@
     http_body_util::{BodyExt, Limited},
     hyper::{
         HeaderMap, Request, Response, StatusCode,
-        body::{Body as HttpBody, Incoming},
+        body::{Body as HttpBody, Frame, Incoming},
         header,
         http::request::Parts,
         service::service_fn,
@@ -100,6 +101,8 @@
     TooDeep,
     #[error("this node does not know the fleet or its settings yet")]
     NotReady,
+    #[error("{0}")]
+    Unauthorized(KeyFault),
 }
 
 impl Rejection {
@@ -111,6 +114,7 @@
             Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, "body-late"),
             Self::TooDeep => (StatusCode::LOOP_DETECTED, "too-deep"),
             Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
+            Self::Unauthorized(_) => (StatusCode::UNAUTHORIZED, "unauthorized"),
         }
     }
 
@@ -120,6 +124,9 @@
         match self {
             Self::NotReady => responses::set_retry_after(&mut res, NOT_READY_DELAY, fractional),
             Self::BodyLate => responses::set_header(&mut res, &header::CONNECTION, "close"),
+            Self::Unauthorized(_) => {
+                responses::set_header(&mut res, &header::WWW_AUTHENTICATE, "Bearer");
+            }
             _ => {}
         }
         res
@@ -223,11 +230,12 @@
     }
 
     /// Starts a pipelined call while an earlier request is still served. Only idempotent work is
-    /// started early, because a caller that loses the response sends the request again.
+    /// started early, because a caller that loses the response sends the request again. A request that would be
+    /// rejected isn't started either: the settings that are in force at its turn decide on it.
     fn start_early(&self, head: &Request<()>) -> Option<EarlyCall> {
         let shared = &self.driver.shared;
         let (parts, ()) = head.clone().into_parts();
-        let route = ResolvedRoute::for_request(shared, &parts)?;
+        let route = ResolvedRoute::for_request(shared, &parts).ok()?;
         if route.policy.kind != WorkKind::Idempotent || shared.draining() {
             return None;
         }
@@ -274,7 +282,7 @@
     ) -> Result<Response<Body>, Rejection> {
         let shared = &self.driver.shared;
         let route = ResolvedRoute::for_request(shared, &head)
-            .ok_or_else(|| self.no_route_rejection(&head))?;
+            .map_err(|fault| self.route_rejection(fault, &head))?;
         if headers::parse_number(&head.headers, &headers::DEPTH)
             .is_some_and(|depth| depth >= MAX_CALL_DEPTH)
         {
@@ -339,21 +347,26 @@
         };
         let metrics = &self.driver.shared.metrics.latencies;
         metrics.record_call(&route.name, outcome, reason, now.since(started));
+        if let Some(workspace) = &route.workspace {
+            self.driver.shared.metrics.workspaces.count(&workspace.name, outcome);
+        }
         log::info!(
             target: "entry", request = id, route = &*route.name, service = &*route.service,
             settings = route.version, outcome, reason, status,
-            priority = route.priority,
+            priority = route.priority, workspace = &*route.workspace_name(),
             elapsed_ms = now.since(started).as_millis() as u64,
             budget_ms = spec.deadline.since(started).as_millis() as u64;
             "call ended"
         );
     }
 
-    fn no_route_rejection(&self, head: &Parts) -> Rejection {
-        if self.driver.shared.is_ready() {
-            Rejection::UnknownService(format!("{}{}", host_name(head), head.uri.path()))
-        } else {
-            Rejection::NotReady
+    fn route_rejection(&self, fault: RouteFault, head: &Parts) -> Rejection {
+        match fault {
+            RouteFault::Unauthorized(fault) => Rejection::Unauthorized(fault),
+            RouteFault::NotFound if self.driver.shared.is_ready() => {
+                Rejection::UnknownService(format!("{}{}", host_name(head), head.uri.path()))
+            }
+            RouteFault::NotFound | RouteFault::Unusable => Rejection::NotReady,
         }
     }
 
@@ -371,6 +384,9 @@
         let budget = headers::parse_number(&parts.headers, &shared.dialect.budget_ms)
             .map_or(policy.timeout, |ms| policy.timeout.min(Duration::from_millis(ms)));
         remove_reserved_headers(&mut parts.headers, shared);
+        if route.keys_required {
+            parts.headers.remove(header::AUTHORIZATION);
+        }
         let deadline = started + budget;
         let body = match body {
             Some(body) => {
@@ -398,8 +414,6 @@
             body_start,
             body_length,
         );
-        let workspace =
-            route.workspace.as_ref().map_or_else(|| Arc::from(""), |w| Arc::clone(&w.name));
         let outgoing = OutgoingRequest {
             method: parts.method,
             path,
@@ -407,7 +421,7 @@
             body,
             fingerprint,
             regions: route.regions.clone(),
-            workspace,
+            workspace: route.workspace_name(),
             is_retry,
         };
         Ok((spec, outgoing))
@@ -547,10 +561,17 @@
         }
     }
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let body = PrefixedBody::new(buf.freeze(), stream(body));
+    let body = PrefixedBody::new(buf.freeze(), without_trailers(body));
     Ok(OutgoingBody::Streamed(Some(Limited::new(body, max_bytes).boxed_unsync())))
 }
 
+/// Streams a body without its trailers, which may repeat headers that are not passed on, such as a key. No trailer
+/// reaches an upstream anyway, because `Trailer` is a hop-by-hop header.
+fn without_trailers(body: Incoming) -> Body {
+    let data_only = |frame: Frame<Bytes>| Frame::data(frame.into_data().unwrap_or_default());
+    stream(body).map_frame(data_only).boxed_unsync()
+}
+
 /// Reads a body into `buf` until it ends or exceeds [`MAX_BUFFERED_BODY_BYTES`]; returns whether it
 /// ended.
 async fn fill_buffer(
--- a/pistachiolane/src/node/entry/mod.rs
+++ b/pistachiolane/src/node/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry side of a node: callers' connections, their calls, and the hops to gates.
 
 pub(in crate::node) mod attempt_driver;
+pub(in crate::node) mod authentication;
 pub(in crate::node) mod caller_socket;
 pub(in crate::node) mod entry_server;
 pub(in crate::node) mod hop;
--- a/pistachiolane/src/node/entry/resolved_route.rs
+++ b/pistachiolane/src/node/entry/resolved_route.rs
@@ -4,7 +4,13 @@
 use {
     crate::{
         config::{RequestPolicy, Route, SettingsTree, Workspace},
-        node::{entry::entry_server::host_name, shared::Shared},
+        node::{
+            entry::{
+                authentication::{KeyFault, authenticate},
+                entry_server::host_name,
+            },
+            shared::Shared,
+        },
         routing::AllowedRegions,
     },
     hyper::http::request::Parts,
@@ -47,23 +53,68 @@
     pub regions: AllowedRegions,
     /// Workspace of the caller, if there is one.
     pub workspace: Option<Arc<Workspace>>,
+    /// Whether callers send keys, which are not passed on.
+    pub keys_required: bool,
+}
+
+/// Reason why a request has no route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::node) enum RouteFault {
+    /// No route or service matches.
+    NotFound,
+    /// There are routes, but this build can't parse them.
+    Unusable,
+    /// The route needs a key, and the request has none that is known.
+    Unauthorized(KeyFault),
 }
 
 impl ResolvedRoute {
-    /// Returns the route for a request; `None` if no route or service matches.
-    pub fn for_request(shared: &Shared, head: &Parts) -> Option<Self> {
+    /// Returns the route for a request. The route, the workspace and the version are those of one version of the
+    /// settings.
+    ///
+    /// # Errors
+    /// Fails if no route or service matches, or if the caller is not authenticated. Without a route nothing is known
+    /// about keys, so that a missing route comes first.
+    pub fn for_request(shared: &Shared, head: &Parts) -> Result<Self, RouteFault> {
         let tree = shared.settings_tree.load();
         let host = host_name(head);
         match tree.routes() {
             Some(routes) => {
-                let route = routes.find(&host, head.uri.path())?;
+                let route = routes.find(&host, head.uri.path()).ok_or(RouteFault::NotFound)?;
+                let workspace =
+                    authenticate(routes, route, &head.headers).map_err(RouteFault::Unauthorized)?;
                 let draw = rand::rng().random_range(0.0..1.0);
                 Self::for_route(shared, &tree, route, draw)
+                    .map(|resolved| {
+                        Self { keys_required: routes.keys_required, ..resolved }
+                            .with_workspace(workspace)
+                    })
+                    .ok_or(RouteFault::NotFound)
             }
-            None => Self::for_service(&tree, &host, head),
+            // The routes may require keys, so nothing is served without them.
+            None if tree.routes_version() > 0 => Err(RouteFault::Unusable),
+            None => Self::for_service(&tree, &host, head).ok_or(RouteFault::NotFound),
         }
     }
 
+    /// Applies the priority and the regions of the caller's workspace.
+    fn with_workspace(self, workspace: Option<Arc<Workspace>>) -> Self {
+        let Some(workspace) = workspace else {
+            return self;
+        };
+        Self {
+            priority: workspace.priority.unwrap_or(self.priority),
+            regions: self.regions.intersection(&workspace.regions),
+            workspace: Some(workspace),
+            ..self
+        }
+    }
+
+    /// Returns the name of the caller's workspace; empty if there is none.
+    pub fn workspace_name(&self) -> Arc<str> {
+        self.workspace.as_ref().map_or_else(|| Arc::from(""), |w| Arc::clone(&w.name))
+    }
+
     fn for_route(shared: &Shared, tree: &SettingsTree, route: &Route, draw: f64) -> Option<Self> {
         Some(Self {
             name: Arc::clone(&route.name),
@@ -78,6 +129,7 @@
             priority: route.priority,
             regions: route.regions.clone(),
             workspace: None,
+            keys_required: false,
         })
     }
 
@@ -98,6 +150,7 @@
             priority: 0,
             regions: AllowedRegions::All,
             workspace: None,
+            keys_required: false,
         })
     }
 }
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -400,7 +400,7 @@
         };
         log::info!(
             target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service,
-            end, status,
+            workspace = &*attempt.workspace, end, status,
             waited_ms = waited.as_millis() as u64, elapsed_ms = elapsed.as_millis() as u64,
             running = report.running, queued = report.queued,
             slowness_percent = report.slowness_percent,
@@ -591,7 +591,7 @@
         let report = self.shared.admission.gate.next_load_report(self.shared.now());
         log::info!(
             target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service,
-            reason = reason.name(), running = report.running, queued = report.queued,
+            workspace = &*attempt.workspace, reason = reason.name(), running = report.running, queued = report.queued,
             slots = report.slots, budget_us = attempt.budget_us,
             rate_limit = self.shared.admission.gate.stated_rate.get().unwrap_or(0.0);
             "attempt refused, not run"
@@ -651,5 +651,12 @@
     let instance = dialect.expected_instance.clone().zip(header_value(&announced.instance));
     let caller = dialect.caller_service.clone().zip(header_value(&attempt.caller));
     header_map.extend(instance.into_iter().chain(caller));
+    if let Some(name) = &dialect.workspace {
+        header_map.remove(name);
+        // From bytes, because a name need not be ASCII.
+        let value = header::HeaderValue::from_bytes(attempt.workspace.as_bytes()).ok();
+        header_map
+            .extend(value.filter(|value| !value.is_empty()).map(|value| (name.clone(), value)));
+    }
     dialect.request_id.as_ref().and_then(|name| header_map.get(name)).cloned()
 }
--- a/pistachiolane/tests/routes.rs
+++ b/pistachiolane/tests/routes.rs
@@ -2,8 +2,11 @@
 
 use {
     pistachiolane::{
-        config::{ActiveSubtrees, ROUTES, RouteTable, check_document},
-        schema::{RootDocument, RouteSettings, RouteTarget, RoutesDocument, Subtree, WorkKind},
+        config::{ActiveSubtrees, KeyDigest, ROOT, ROUTES, RouteTable, check_document},
+        schema::{
+            RootDocument, RouteSettings, RouteTarget, RoutesDocument, Subtree, WorkKind,
+            WorkspaceSettings,
+        },
     },
     test_case::test_case,
 };
@@ -79,6 +82,53 @@
     assert!(check_document(ROUTES, &text, &RootDocument::default()).is_err());
 }
 
+/// Guards against settings under which a key identifies two workspaces, or a request runs under another name. No
+/// message quotes a value that may be a key.
+#[test_case(r#"[{"name":"a"},{"name":"a"}]"#, "workspaces/1/name"; "same name")]
+#[test_case(r#"[{"name":""}]"#, "workspaces/0/name"; "no name")]
+#[test_case(r#"[{"name":" a"}]"#, "workspaces/0/name"; "outer space")]
+#[test_case(r#"[{"name":"a","key_digests":["D"]},{"name":"b","key_digests":["E","D"]}]"#, "workspaces/1/key_digests/1"; "common key")]
+#[test_case(r#"[{"name":"a","key_digests":["s3cret"]}]"#, "workspaces/0/key_digests/0"; "key in place of a digest")]
+#[test_case(r#"[{"name":"a","key_digests":"s3cret"}]"#, "workspaces/0/key_digests"; "digests of another type")]
+#[test_case(r#"[{"name":"a","requests_per_second":-1}]"#, "workspaces/0/requests_per_second"; "negative rate")]
+#[test_case(r#"[{"name":"a","burst":-0.5}]"#, "workspaces/0/burst"; "negative burst")]
+fn check_document_reports_path_in_workspaces(workspaces: &str, path: &str) {
+    let digest = |key: &[u8]| KeyDigest::new(key).to_hex();
+    let workspaces = workspaces.replace('D', &digest(b"d")).replace('E', &digest(b"e"));
+    let text = format!(r#"{{"workspaces":{workspaces}}}"#);
+    let errors = check_document(ROUTES, &text, &RootDocument::default()).unwrap_err();
+    let [error] = errors.as_slice() else { panic!("{errors:?}") };
+    assert_eq!(error.path, format!("routes/{path}"));
+    assert!(!error.to_string().contains("s3cret"), "{error}");
+}
+
+#[test]
+fn evacuations_is_no_name_of_a_team() {
+    let text = r#"{"teams":{"evacuations":{"services":[]}}}"#;
+    assert!(check_document(ROOT, text, &RootDocument::default()).is_err());
+}
+
+/// Guards against a key of two workspaces that runs under the name of one of them, whatever their order and number.
+#[test]
+fn key_of_two_workspaces_identifies_none() {
+    let digest = |key: &str| KeyDigest::new(key.as_bytes());
+    let settings = |(name, keys): (&str, &[&str])| WorkspaceSettings {
+        name: name.into(),
+        key_digests: keys.iter().map(|key| digest(key).to_hex()).collect(),
+        priority: None,
+        requests_per_second: 0.0,
+        burst: 0.0,
+        regions: Vec::new(),
+    };
+    let held: [(&str, &[&str]); 4] =
+        [("a", &["x", "own", "own"]), ("b", &["x"]), ("c", &["x"]), ("line\nbreak", &["y"])];
+    let workspaces = held.into_iter().map(settings).collect();
+    let table = RouteTable::new(&RoutesDocument { workspaces, ..RoutesDocument::default() });
+    let name = |key: &str| table.workspace(&digest(key)).map(|w| w.name.to_string());
+    assert_eq!([name("own"), name("x"), name("y")], [Some("a".to_owned()), None, None]);
+    assert_eq!(table.shared_keys, [["a".into(), "b".into()]]);
+}
+
 /// Guards against an older version of the routes replacing a newer one.
 #[test]
 fn active_subtrees_compile_newest_routes() {
