--- a/pistachiolane/src/node/admin/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -46,6 +46,7 @@
             "zone": shared.admission.gate.zone.get().name(),
             "running": shared.admission.gate.running(),
         },
+        "keys": keys_status(shared),
         "settings_age_ms": shared.settings_age.since_confirmed(shared.now()).as_millis() as u64,
         "invariant_violations": invariants::violations(),
     })
@@ -106,6 +107,18 @@
     })
 }
 
+/// Returns counts only: neither keys nor their digests are shown.
+fn keys_status(shared: &Shared) -> Value {
+    let tree = shared.settings_tree.load();
+    tree.routes().map_or(Value::Null, |routes| {
+        json!({
+            "required": routes.keys_required,
+            "known": routes.key_count(),
+            "shared_by_workspaces": routes.shared_keys.len(),
+        })
+    })
+}
+
 fn service_status(shared: &Shared, service: &Arc<ServiceTable>) -> Value {
     let now = shared.now();
     let usable = service.candidates.iter().filter(|c| c.is_usable(now)).count();
--- a/pistachiolane/src/node/control/control_loop.rs
+++ b/pistachiolane/src/node/control/control_loop.rs
@@ -51,6 +51,8 @@
 /// Number of requests for a confirmation of which one goes to the store as well: a peer usually answers the first one,
 /// and calls to the store are priced.
 const CONFIRMATIONS_PER_STORE_READ: u32 = 7;
+/// Most pairs of workspaces that a log line names.
+const MAX_LOGGED_PAIRS: usize = 8;
 
 /// Maximum number of commands that wait for the loop.
 const MAX_QUEUED_COMMANDS: usize = 4_096;
@@ -528,7 +530,11 @@
     fn put_in_force(&mut self, has_newer: bool, source: &'static str) {
         if has_newer {
             let previous = self.shared.settings_tree.load_full();
-            self.shared.apply_settings(self.active_subtrees.compile());
+            let tree = self.active_subtrees.compile();
+            if tree.routes_version() > previous.routes_version() {
+                warn_of_shared_keys(&tree);
+            }
+            self.shared.apply_settings(tree);
             self.record_evacuations(&previous, source);
             self.members.set_settings_digest(self.active_subtrees.digest());
         }
@@ -564,6 +570,21 @@
     }
 }
 
+/// Logs the workspaces whose callers get 401 because they hold the same key, once for each version of the routes.
+fn warn_of_shared_keys(tree: &SettingsTree) {
+    let shared_keys = tree.routes().map_or(&[][..], |routes| &routes.shared_keys);
+    if shared_keys.is_empty() {
+        return;
+    }
+    let pairs: Vec<String> =
+        shared_keys.iter().take(MAX_LOGGED_PAIRS).map(|pair| pair.join(" and ")).collect();
+    log::warn!(
+        target: "settings", version = tree.routes_version(), keys = shared_keys.len(),
+        workspaces = pairs.join(", ").as_str();
+        "keys of more than one workspace identify none"
+    );
+}
+
 fn apply_suspects(shared: &Shared, updates: &[SuspectUpdate]) {
     for update in updates {
         shared.quarantine.apply(shared.now(), update);
--- a/pistachiolane/tests/evacuations.rs
+++ b/pistachiolane/tests/evacuations.rs
@@ -4,7 +4,7 @@
     pistachiolane::{
         config::{ActiveSubtrees, ApplyResult, WatchedEvacuations},
         limits::{
-            AdmissionDecision, AdmissionRequest, Dequeued, Gate, QueueKey, RefusalReason,
+            AdmissionDecision, AdmissionRequest, Dequeued, Gate, QueueKey, RefusalReason, Urgency,
             WaitQueue, ZoneEvacuation,
         },
         schema::GateState,
@@ -113,7 +113,7 @@
     assert_eq!(admit(&gate, Tick(2)), AdmissionDecision::Run);
     assert_eq!(admit(&gate, Tick(3)), AdmissionDecision::Queue);
     let mut queue = WaitQueue::default();
-    queue.push(QueueKey { priority: 0, caller: "a".into() }, Tick(0) + SECOND, ());
+    queue.push(QueueKey { urgency: Urgency::relaxed(0), caller: "a".into() }, Tick(0) + SECOND, ());
     gate.zone.evacuate();
     let refused = AdmissionDecision::Refuse(RefusalReason::Evacuated);
     assert_eq!(admit(&gate, Tick(4)), refused);
