--- a/pistachiolane/src/node/control/control_loop.rs
+++ b/pistachiolane/src/node/control/control_loop.rs
@@ -248,6 +248,7 @@
                 }
                 () = shared.unsolicited_report.notified() => {
                     let report = self.shared.admission.gate.next_load_report(self.shared.now());
+                    self.record_load_report(self.shared.node, &report);
                     self.step(MembershipEvent::Load(report));
                 }
                 command = self.commands.recv() => match command {
