Fair turns among workspaces, and a definite answer for requests that never ran

Cause: one queue judged by its length let a large workspace that sends seven times its usual rate take over a third of the others' room. Non-idempotent requests that waited for a connection or a slot until their deadline were answered with 504 although nothing of them had been sent.

Change: a gate queues by workspace within a priority, judges the wait of a new attempt by its place in turn, sheds from the workspace with the most waiting (ties by arrival, not by name), and serves out of turn a workspace whose share of started attempts is below 0.35 of that of all. Attempts without a workspace are decided as before. Gates refuse what still waits for a slot or for a connection to the upstream 20 ms before the deadline. An entry withdraws at the deadline what has no connection, or what its own gate has not started (fixed in the ledger), and waits 25 ms for a refusal that is under way if the work must not repeat. A second try over a new hop no longer counts as sent.

--- a/pistachiolane/src/attempt/admission.rs
+++ b/pistachiolane/src/attempt/admission.rs
@@ -132,7 +132,12 @@
         };
         let start_deadlines = request.start_deadlines(now);
         let ticket = Ticket { deadline: now + request.remaining, start_deadlines, state };
-        match self.gate.admit(&request) {
+        let decision = if attempt.workspace.is_empty() {
+            self.gate.admit(&request)
+        } else {
+            self.gate.admit_by_turn(&request)
+        };
+        match decision {
             AdmissionDecision::Run => AttemptDecision::Run(ticket),
             AdmissionDecision::Queue => AttemptDecision::Queue(ticket),
             AdmissionDecision::Refuse(reason) => {
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -32,6 +32,11 @@
 /// would only add load to a busy service.
 const MAX_HEDGE_UTILISATION: f64 = 0.9;
 
+/// Time after the deadline for which a call that must not repeat waits for the gate's word on its attempt. Gates refuse
+/// what still waits shortly before the deadline, and a busy node reads that later; without the word the caller would
+/// be told that the request may have run.
+const REFUSAL_GRACE: Duration = Duration::from_millis(25);
+
 /// Time between settlement requests for an attempt that is still running or whose gate is
 /// unreachable.
 const SETTLE_INTERVAL: Duration = Duration::from_millis(50);
@@ -68,6 +73,8 @@
     hedge: bool,
     /// Time of the next settlement request, if one is scheduled.
     settle_at: Option<Tick>,
+    /// Whether its connection was lost, so that no refusal can arrive.
+    is_lost: bool,
 }
 
 /// State machine of one call; [`Call::step`] drives it.
@@ -131,6 +138,7 @@
                 self.on_refused(now, cx, rng, id, reason, report)
             }
             CallEvent::Unsent(id) => self.on_unsent(now, cx, rng, id),
+            CallEvent::Withdrawn(id) => self.on_withdrawn(now, cx, rng, id),
             CallEvent::Lost(id) if self.spec.kind == WorkKind::NonIdempotent => {
                 self.start_settlement(id)
             }
@@ -246,6 +254,20 @@
         if self.in_flight.is_empty() { self.next_attempt(now, cx, rng) } else { Vec::new() }
     }
 
+    fn on_withdrawn<R: Rng>(
+        &mut self,
+        now: Tick,
+        cx: CallContext<'_>,
+        rng: &mut R,
+        id: AttemptId,
+    ) -> Vec<CallAction> {
+        if self.remove_in_flight(now, id, false).is_none() || !self.in_flight.is_empty() {
+            return Vec::new();
+        }
+        let outcome = self.unsuccessful_outcome(now, cx, rng, NotRunReason::Expired);
+        self.finish(now, outcome)
+    }
+
     /// Processes the end of an attempt that may have run, without a response of the upstream.
     fn on_possible_run<R: Rng>(
         &mut self,
@@ -273,6 +295,7 @@
         let attempt = self.in_flight.iter_mut().find(|a| a.id == id);
         attempt.map_or_else(Vec::new, |attempt| {
             attempt.settle_at = None;
+            attempt.is_lost = true;
             vec![CallAction::Settle { id, candidate: Arc::clone(&attempt.candidate) }]
         })
     }
@@ -365,6 +388,10 @@
 
     fn on_timer<R: Rng>(&mut self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> Vec<CallAction> {
         if now >= self.spec.deadline {
+            let grace_end = self.spec.deadline + REFUSAL_GRACE;
+            if now < grace_end && self.awaits_refusal() {
+                return vec![CallAction::WakeAt(grace_end)];
+            }
             let outcome = if self.in_flight.is_empty() {
                 self.unsuccessful_outcome(now, cx, rng, NotRunReason::Expired)
             } else {
@@ -381,6 +408,11 @@
         actions
     }
 
+    /// Whether the request must not repeat and a refusal of its attempt may be under way.
+    fn awaits_refusal(&self) -> bool {
+        self.spec.kind == WorkKind::NonIdempotent && self.in_flight.iter().any(|a| !a.is_lost)
+    }
+
     fn start_due_settlements(&mut self, now: Tick) -> Vec<CallAction> {
         let due: Vec<AttemptId> = self
             .in_flight
@@ -489,6 +521,7 @@
             sent_at: now,
             hedge: cause == AttemptCause::Hedge,
             settle_at: None,
+            is_lost: false,
         });
         CallAction::Send { id, candidate, may_queue, cause }
     }
--- a/pistachiolane/src/attempt/call_event.rs
+++ b/pistachiolane/src/attempt/call_event.rs
@@ -14,6 +14,9 @@
     Refused(AttemptId, RefusalReason, Option<LoadReport>),
     /// No byte of the attempt was sent.
     Unsent(AttemptId),
+    /// The attempt was withdrawn at the deadline, before any byte of it was sent or before the gate started it; it will
+    /// not run.
+    Withdrawn(AttemptId),
     /// The connection was lost or stopped responding after part of the attempt was sent.
     Lost(AttemptId),
     /// The gate responded that the attempt may have run and that no response will follow.
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -202,9 +202,14 @@
             AttemptDecision::OutcomeUnknown => vec![EngineAction::OutcomeUnknown(delivery)],
             AttemptDecision::Run(ticket) => vec![self.start_run(now, delivery, ticket)],
             AttemptDecision::Queue(ticket) => {
-                let key =
-                    QueueKey { priority: header.priority, caller: Arc::clone(&header.caller) };
-                self.queue.push(key, ticket.start_deadlines, delivery);
+                let key = QueueKey::for_attempt(header);
+                self.queue.push(key.clone(), ticket.start_deadlines, delivery);
+                let gate = &self.admission.gate;
+                if key.is_workspace() && self.queue.remove_newest_if_late(now, gate, &key).is_some()
+                {
+                    ticket.refuse(now);
+                    return vec![self.refusal(now, delivery, RefusalReason::QueueFull)];
+                }
                 self.waiting.insert(delivery, ticket);
                 Vec::new()
             }
--- a/pistachiolane/src/limits/admission_request.rs
+++ b/pistachiolane/src/limits/admission_request.rs
@@ -6,6 +6,18 @@
 /// not expected to complete before its deadline.
 const MIN_SERVICE_TIME_DIVISOR: u32 = 2;
 
+/// Time before the deadline at which an attempt that still waits is refused: four checks of the queue, so that the
+/// refusal arrives while the call can still be answered as not run.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
+
+/// Divisor of the remaining time that bounds the margin of a call with a short budget.
+const REFUSAL_MARGIN_DIVISOR: u32 = 8;
+
+/// Returns the time before the deadline at which an attempt is refused of which nothing was sent to the upstream.
+pub fn refusal_margin(remaining: Duration) -> Duration {
+    REFUSAL_MARGIN.min(remaining / REFUSAL_MARGIN_DIVISOR)
+}
+
 record! {
     /// Time budgets and queueing permission of an attempt that requests admission.
     #[derive(Copy)]
@@ -47,8 +59,9 @@
 
     /// Returns the latest start times of an attempt that arrives now.
     pub fn start_deadlines(&self, now: Tick) -> StartDeadlines {
+        let before_refusal = self.remaining.saturating_sub(refusal_margin(self.remaining));
         StartDeadlines {
-            deadline: now + self.max_wait().unwrap_or_default(),
+            deadline: now + self.max_wait().unwrap_or_default().min(before_refusal),
             on_time: now + self.max_on_time_wait().unwrap_or_default(),
             service_time: self.expected_service_time,
         }
--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -190,6 +190,19 @@
     /// target latency may use only part of the slots and isn't queued: attempts that can still be on time
     /// have precedence.
     pub fn admit(&self, req: &AdmissionRequest) -> AdmissionDecision {
+        self.decide(req, true)
+    }
+
+    /// Decides as [`Gate::admit`] does, but leaves it to [`super::WaitQueue::remove_newest_if_late`] whether the wait is
+    /// too long: it depends on who is waiting, not only on how many.
+    ///
+    /// A free slot goes to whoever comes first as long as nobody waits, which takes nothing from anyone. As soon as an
+    /// attempt waits, each slot that becomes free goes by turn, also if one workspace always arrives first.
+    pub fn admit_by_turn(&self, req: &AdmissionRequest) -> AdmissionDecision {
+        self.decide(req, false)
+    }
+
+    fn decide(&self, req: &AdmissionRequest, judge_wait: bool) -> AdmissionDecision {
         if self.is_draining() {
             return AdmissionDecision::Refuse(RefusalReason::Draining);
         }
@@ -214,7 +227,8 @@
         let Some(max_on_time_wait) = req.max_on_time_wait() else {
             return AdmissionDecision::Refuse(RefusalReason::QueueFull);
         };
-        if self.expected_wait(req.arrived, queued + 1) > max_on_time_wait.min(max_wait) {
+        let max_wait = max_on_time_wait.min(max_wait);
+        if judge_wait && self.expected_wait(req.arrived, queued + 1) > max_wait {
             return AdmissionDecision::Refuse(RefusalReason::QueueFull);
         }
         let bound = self.queue_bound() * QUEUE_OVERFLOW_FACTOR;
@@ -304,7 +318,7 @@
     }
 
     /// Returns the expected wait at a position in the queue; the first position is 1.
-    fn expected_wait(&self, now: Tick, position: u32) -> Duration {
+    pub(super) fn expected_wait(&self, now: Tick, position: u32) -> Duration {
         let slots = u64::from(self.limit.get().max(1));
         let for_slot = Duration::from_micros(self.limit.latency_us() * u64::from(position) / slots);
         let for_rate = self.stated_rate.wait(now, position);
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -9,6 +9,7 @@
 mod quantile;
 mod retry_after;
 mod retry_budget;
+mod served_shares;
 mod service_times;
 mod slots;
 mod slowness;
@@ -18,7 +19,7 @@
 
 pub use {
     adaptive_limit::AdaptiveLimit,
-    admission_request::AdmissionRequest,
+    admission_request::{AdmissionRequest, refusal_margin},
     average::Average,
     gate::{AdmissionDecision, Gate, RefusalReason},
     platform_share::{
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -1,10 +1,11 @@
-//! Wait queue of a gate: ordered by priority, round-robin between calling services, and first in, first
+//! Wait queue of a gate: ordered by priority, round-robin between workspaces or calling services, and first in, first
 //! out within one of them, except that attempts that can still be on time go first.
 
 use {
-    super::Gate,
-    crate::tick::Tick,
+    super::{Gate, served_shares::ServedShares},
+    crate::{schema::AttemptHeader, tick::Tick},
     std::{
+        cmp::Ordering,
         collections::{BTreeMap, VecDeque},
         sync::Arc,
         time::Duration,
@@ -26,15 +27,35 @@
 }
 
 /// Key of a sub-queue of waiting attempts. Sub-queues of the most urgent priority are served first,
-/// round-robin between calling services.
+/// round-robin between workspaces or calling services.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct QueueKey {
     /// Priority; 0 is served first.
     pub priority: u8,
-    /// Calling service.
+    /// Calling service, or [`WORKSPACE_PREFIX`] and the name of the workspace.
     pub caller: Arc<str>,
 }
 
+/// Start of the key of a workspace, which no name of a service contains.
+const WORKSPACE_PREFIX: &str = "workspace/";
+
+impl QueueKey {
+    /// Returns the sub-queue of an attempt: that of its workspace if it has one, or else of its calling service.
+    pub fn for_attempt(attempt: &AttemptHeader) -> Self {
+        let caller = if attempt.workspace.is_empty() {
+            Arc::clone(&attempt.caller)
+        } else {
+            Arc::from(format!("{WORKSPACE_PREFIX}{}", attempt.workspace))
+        };
+        Self { priority: attempt.priority, caller }
+    }
+
+    /// Whether this is the sub-queue of a workspace.
+    pub fn is_workspace(&self) -> bool {
+        self.caller.starts_with(WORKSPACE_PREFIX)
+    }
+}
+
 /// Latest start times of a waiting attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StartDeadlines {
@@ -58,30 +79,65 @@
 struct QueuedAttempt<T> {
     item: T,
     start_deadlines: StartDeadlines,
+    /// Number of attempts that were queued before it.
+    arrival: u64,
 }
 
-/// Waiting attempts in sub-queues by priority and calling service.
+/// Waiting attempts in sub-queues by priority and workspace or calling service.
 ///
 /// Owned by one task. The [`Gate`] counts the places and limits their number.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     sub_queues: BTreeMap<QueueKey, VecDeque<QueuedAttempt<T>>>,
     last_served: Option<QueueKey>,
+    arrivals: u64,
+    shares: ServedShares,
 }
 
 impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
-        Self { sub_queues: BTreeMap::new(), last_served: None }
+        Self {
+            sub_queues: BTreeMap::new(),
+            last_served: None,
+            arrivals: 0,
+            shares: ServedShares::default(),
+        }
     }
 }
 
 impl<T> WaitQueue<T> {
     /// Adds an item for which [`Gate::admit`] took a place.
     pub fn push(&mut self, key: QueueKey, start_deadlines: impl Into<StartDeadlines>, item: T) {
-        let attempt = QueuedAttempt { item, start_deadlines: start_deadlines.into() };
+        self.arrivals += 1;
+        self.shares.record_offered(&key);
+        let arrival = self.arrivals;
+        let attempt = QueuedAttempt { item, start_deadlines: start_deadlines.into(), arrival };
         self.sub_queues.entry(key).or_default().push_back(attempt);
     }
 
+    /// Removes and returns the newest attempt of a sub-queue if it isn't expected to start in time, for attempts that
+    /// [`Gate::admit_by_turn`] admitted.
+    ///
+    /// Its place follows from the turns: behind as many attempts of each other workspace as of its own. So what one
+    /// workspace has waiting delays its own attempts, not those of others.
+    pub fn remove_newest_if_late(&mut self, now: Tick, gate: &Gate, key: &QueueKey) -> Option<T> {
+        let attempts = self.sub_queues.get(key)?;
+        let start = attempts.back()?.start_deadlines;
+        let ahead = self.sub_queues.iter().map(|(other, waiting)| {
+            match other.priority.cmp(&key.priority) {
+                Ordering::Less => waiting.len(),
+                Ordering::Equal => waiting.len().min(attempts.len()),
+                Ordering::Greater => 0,
+            }
+        });
+        let expected_start = now + gate.expected_wait(now, ahead.sum::<usize>() as u32);
+        if expected_start <= start.on_time.min(start.deadline) {
+            return None;
+        }
+        gate.release_queue_place();
+        Some(self.remove(key, attempts.len() - 1)?.item)
+    }
+
     /// Returns the number of waiting items.
     pub fn len(&self) -> usize {
         self.sub_queues.values().map(VecDeque::len).sum()
@@ -107,6 +163,7 @@
         gate: &Gate,
         is_cancelled: impl Fn(&T) -> bool,
     ) -> Option<Dequeued<T>> {
+        self.shares.decay(now);
         if !gate.runs_queued_attempts() {
             let (key, _) = self.sub_queues.first_key_value()?;
             let attempt = self.remove(&key.clone(), 0)?;
@@ -132,6 +189,7 @@
             }
             let attempt = self.remove(&key, index)?;
             gate.release_queue_place();
+            self.shares.record_started(&key);
             self.last_served = Some(key);
             return Some(Dequeued::Run(attempt.item));
         }
@@ -171,10 +229,12 @@
             .unwrap_or(0)
     }
 
-    /// Removes the newest attempt of the longest sub-queue within the least urgent priority.
+    /// Removes the newest attempt of the longest sub-queue within the least urgent priority; of several that are as
+    /// long, the one that arrived last, so that the order of names decides nothing.
     fn shed_newest_of_longest(&mut self) -> Option<T> {
-        let longest =
-            self.sub_queues.iter().max_by_key(|(key, attempts)| (key.priority, attempts.len()));
+        let longest = self.sub_queues.iter().max_by_key(|(key, attempts)| {
+            (key.priority, attempts.len(), attempts.back().map(|a| a.arrival))
+        });
         let key = longest.map(|(key, _)| key.clone())?;
         let attempts = self.sub_queues.get_mut(&key)?;
         let attempt = attempts.pop_back()?;
@@ -184,18 +244,16 @@
         Some(attempt.item)
     }
 
-    /// Returns the next sub-queue of the most urgent priority, round-robin after the last one served.
+    /// Returns the next sub-queue of the most urgent priority: that of an underserved workspace, or else the one whose
+    /// turn it is after the last one served.
     fn next_key(&self) -> Option<QueueKey> {
-        let (first, _) = self.sub_queues.iter().next()?;
-        let next = self.last_served.as_ref().filter(|key| key.priority == first.priority).and_then(
-            |last_served| {
-                let later_keys =
-                    (std::ops::Bound::Excluded(last_served), std::ops::Bound::Unbounded);
-                self.sub_queues.range::<QueueKey, _>(later_keys).next()
-            },
-        );
-        let next = next.map(|(key, _)| key).filter(|key| key.priority == first.priority);
-        Some(next.unwrap_or(first).clone())
+        let (first, _) = self.sub_queues.first_key_value()?;
+        let of_priority = || self.sub_queues.keys().take_while(|k| k.priority == first.priority);
+        let is_later = |key: &&QueueKey| self.last_served.as_ref().is_some_and(|last| *key > last);
+        let turns =
+            || of_priority().filter(is_later).chain(of_priority().filter(|key| !is_later(key)));
+        let underserved = turns().find(|key| self.shares.is_underserved(key));
+        underserved.or_else(|| turns().next()).cloned()
     }
 
     fn remove(&mut self, key: &QueueKey, index: usize) -> Option<QueuedAttempt<T>> {
--- a/pistachiolane/src/node/entry/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -148,6 +148,8 @@
     /// Number of the hop connection that carries the attempt; 0 before one does and for the local
     /// gate.
     connection: Arc<AtomicU64>,
+    /// Whether the gate is the local one.
+    is_local: bool,
 }
 
 /// State that all calls of an entry share.
@@ -231,11 +233,40 @@
                 Some((id, result)) = self.attempts.next() => {
                     events.extend(result.map(|result| self.record_result(id, result)));
                 }
-                () = timer => events.push_back(CallEvent::Timer),
+                () = timer => {
+                    events.extend(self.withdraw_unsent());
+                    events.push_back(CallEvent::Timer);
+                }
             }
         }
     }
 
+    /// Withdraws the attempts that did not leave this node by the deadline: those that still wait for a connection to
+    /// their gate, and one of non-idempotent work that the local gate has not started, which its ledger then prevents.
+    fn withdraw_unsent(&self) -> Vec<CallEvent> {
+        let shared = &self.driver.shared;
+        let now = shared.now();
+        if now < self.spec.deadline {
+            return Vec::new();
+        }
+        let is_recorded = self.spec.kind == WorkKind::NonIdempotent;
+        let is_unsent = |sent: &&SentAttempt| match sent.is_local {
+            // Connection 0 retires no connection.
+            true if is_recorded => {
+                let req = SettleRequest { id: sent.id, gate: shared.node, connection: 0 };
+                shared.admission.settle(now, &req) == Settlement::NotRun
+            }
+            true => false,
+            false => sent.connection.load(Ordering::SeqCst) == 0,
+        };
+        let unsent = self.sent.iter().filter(is_unsent);
+        // The state machine ignores the attempts that have ended.
+        unsent
+            .inspect(|sent| sent.abort.abort())
+            .map(|sent| CallEvent::Withdrawn(sent.id))
+            .collect()
+    }
+
     fn step(&mut self, event: CallEvent) {
         self.log_event(&event);
         let shared = &self.driver.shared;
@@ -282,6 +313,7 @@
         let (id, message, why) = match event {
             CallEvent::Refused(id, reason, _) => (id, "attempt refused, not run", reason.name()),
             CallEvent::Unsent(id) => (id, "attempt not sent", "no connection"),
+            CallEvent::Withdrawn(id) => (id, "attempt not sent", "no connection or slot in time"),
             CallEvent::Lost(id) => (id, "attempt lost", "no usable response"),
             CallEvent::OutcomeUnknown(id) => (id, "attempt lost", "outcome unknown at the gate"),
             CallEvent::UpstreamCrashed { id, may_retry: true } => {
@@ -414,7 +446,7 @@
                 .boxed()
             }
         };
-        self.track(id, upstream, connection, future);
+        self.track(id, upstream, connection, local, future);
     }
 
     /// Adds an attempt or settle request to those in progress.
@@ -423,13 +455,14 @@
         id: AttemptId,
         upstream: SocketAddr,
         connection: Arc<AtomicU64>,
+        is_local: bool,
         future: BoxFuture<'static, AttemptResult>,
     ) {
         let (abort, registration) = AbortHandle::new_pair();
         let future = Abortable::new(future, registration);
         self.attempts.push(async move { (id, future.await.ok()) }.boxed());
         let sent_at = self.driver.shared.now();
-        self.sent.push(SentAttempt { id, upstream, sent_at, abort, connection });
+        self.sent.push(SentAttempt { id, upstream, sent_at, abort, connection, is_local });
     }
 
     /// Builds the request of an attempt; returns `None` if a streamed body was already sent or
@@ -481,6 +514,7 @@
         let connection = self.connection_of(id);
         let connection_number = Arc::clone(&connection);
         let upstream = candidate.member.gate;
+        let is_local = candidate.member.node == shared.node;
         let future = async move {
             let number = connection_number.load(Ordering::SeqCst);
             shared.hops.retire(candidate.member.node, number);
@@ -490,7 +524,7 @@
             Metrics::count(&shared.metrics.settled, case);
             AttemptResult::Settled(settlement)
         };
-        self.track(id, upstream, connection, future.boxed());
+        self.track(id, upstream, connection, is_local, future.boxed());
     }
 
     fn connection_of(&self, id: AttemptId) -> Arc<AtomicU64> {
@@ -534,6 +568,9 @@
 ) -> AttemptResult {
     let insert_header = |req: &mut Request<Body>, number: u64| {
         connection_number.store(number, Ordering::SeqCst);
+        if number == 0 {
+            return;
+        }
         let attempt = AttemptHeader { connection: number, ..attempt.clone() };
         let value = shared
             .settings
--- a/pistachiolane/src/node/entry/hop.rs
+++ b/pistachiolane/src/node/entry/hop.rs
@@ -103,7 +103,7 @@
     }
 
     /// Sends a request after calling `prepare` on it with the number of the connection that will
-    /// carry it.
+    /// carry it; with 0 if that connection turned out not to have sent any of it.
     ///
     /// # Errors
     /// [`HopError::Unsent`] only if no byte of the request was sent.
@@ -123,6 +123,7 @@
             };
             self.retire_if_closed(member.node, &connection);
             req = error.take_message().ok_or(HopError::Lost)?;
+            prepare(&mut req, 0);
         }
         Err(HopError::Unsent)
     }
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -16,7 +16,7 @@
     },
     crate::{
         attempt::{AttemptDecision, Ticket},
-        limits::{QueueKey, RefusalReason, StartDeadlines},
+        limits::{QueueKey, RefusalReason, StartDeadlines, refusal_margin},
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         schema::{Announcement, AttemptHeader, FleetKey, WireError},
@@ -304,7 +304,7 @@
         start_deadlines: StartDeadlines,
     ) -> Result<SlotGuard, RefusalReason> {
         let (reply, decision) = oneshot::channel();
-        let key = QueueKey { priority: attempt.priority, caller: Arc::clone(&attempt.caller) };
+        let key = QueueKey::for_attempt(attempt);
         self.shared.queue.push(QueueItem { key, start_deadlines, reply });
         match decision.await {
             Ok(QueueDecision::Run(slot)) => Ok(slot),
@@ -331,7 +331,10 @@
         shared.metrics.gate_runs.inc();
         let pool = self.current_pool(&announced);
         let limit = remaining + UPSTREAM_DEADLINE_MARGIN;
-        let result = timeout(limit, pool.send(req, attempt.repeatable)).await;
+        // The refusal of an attempt that has no connection in time arrives before the call's deadline.
+        let connect_limit = remaining.saturating_sub(refusal_margin(remaining));
+        let sent = pool.send_within(connect_limit, req, attempt.repeatable);
+        let result = timeout(limit, sent).await;
         let elapsed = shared.now().since(started);
         self.log_run(attempt, &result, remaining, elapsed);
         let gate = &shared.admission.gate;
@@ -361,6 +364,9 @@
                     }
                 }
             }
+            Ok(Err(UpstreamError::Expired)) => {
+                self.refuse_not_run(guard, attempt, RefusalReason::Expired)
+            }
             Ok(Err(UpstreamError::Unsent(e))) => {
                 // The next announcement makes the upstream available again.
                 shared.admission.remove_upstream();
@@ -394,7 +400,7 @@
         let waited = Duration::from_micros(attempt.budget_us).saturating_sub(remaining);
         let (end, status) = match result {
             Ok(Ok((res, _))) => ("answered", res.status().as_u16()),
-            Ok(Err(UpstreamError::Unsent(_))) => ("unsent", 0),
+            Ok(Err(UpstreamError::Unsent(_) | UpstreamError::Expired)) => ("unsent", 0),
             Ok(Err(UpstreamError::Lost(_))) => ("lost", 0),
             Err(_) => ("timed-out", 0),
         };
--- a/pistachiolane/src/node/gate/queue_task.rs
+++ b/pistachiolane/src/node/gate/queue_task.rs
@@ -90,7 +90,7 @@
     loop {
         tokio::select! {
             item = items.recv() => match item {
-                Some(item) => queue.push(item.key.clone(), item.start_deadlines, item),
+                Some(item) => enqueue(&shared, &mut queue, item),
                 None => return,
             },
             () = shared.queue.wake.notified() => {}
@@ -100,6 +100,18 @@
     }
 }
 
+fn enqueue(shared: &Shared, queue: &mut WaitQueue<QueueItem>, item: QueueItem) {
+    let key = item.key.clone();
+    queue.push(key.clone(), item.start_deadlines, item);
+    if !key.is_workspace() {
+        return;
+    }
+    if let Some(late) = queue.remove_newest_if_late(shared.now(), &shared.admission.gate, &key) {
+        // Fails if the attempt was cancelled.
+        let _unclaimed = late.reply.send(QueueDecision::Refused(RefusalReason::QueueFull));
+    }
+}
+
 fn decide_queued(shared: &Arc<Shared>, queue: &mut WaitQueue<QueueItem>) {
     let is_cancelled = |item: &QueueItem| item.reply.is_closed();
     while let Some(next) = queue.next(shared.now(), &shared.admission.gate, is_cancelled) {
--- a/pistachiolane/src/node/gate/upstream_pool.rs
+++ b/pistachiolane/src/node/gate/upstream_pool.rs
@@ -60,6 +60,9 @@
     /// No byte of the request was sent.
     #[error("cannot connect to the upstream: {0}")]
     Unsent(String),
+    /// No connection was open in time, and no byte of the request was sent.
+    #[error("no connection to the upstream in time")]
+    Expired,
     /// At least part of the request may have been sent, and no response was received.
     #[error("the connection to the upstream was lost: {0}")]
     Lost(hyper::Error),
@@ -101,6 +104,19 @@
     /// Returns [`UpstreamError::Unsent`] only if no byte of the request was sent.
     pub async fn send(
         &self,
+        req: Request<Body>,
+        repeatable: bool,
+    ) -> Result<(Response<Incoming>, UpstreamConnection), UpstreamError> {
+        self.send_within(CONNECT_TIMEOUT * 2, req, repeatable).await
+    }
+
+    /// Sends a request as [`Self::send`] does, if a connection is open within `connect_limit`.
+    ///
+    /// # Errors
+    /// Returns [`UpstreamError::Unsent`] and [`UpstreamError::Expired`] only if no byte of the request was sent.
+    pub async fn send_within(
+        &self,
+        connect_limit: Duration,
         mut req: Request<Body>,
         repeatable: bool,
     ) -> Result<(Response<Incoming>, UpstreamConnection), UpstreamError> {
@@ -113,7 +129,8 @@
                 },
             }
         }
-        let mut connection = self.connect().await?;
+        let connecting = timeout(connect_limit, self.connect()).await;
+        let mut connection = connecting.map_err(|_e| UpstreamError::Expired)??;
         match connection.sender.try_send_request(req).await {
             Ok(res) => Ok((res, connection)),
             Err(mut e) => {
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -121,6 +121,44 @@
     assert_eq!(outcome(&end), Some(Outcome::Unknown));
 }
 
+/// Guards against a caller that is told that its request may have run although no byte of it was sent, or although a
+/// gate refused it in the moment of the deadline.
+#[test_case(CallEvent::Withdrawn, 0; "no connection by the deadline")]
+#[test_case(|id| CallEvent::Refused(id, RefusalReason::Expired, None), 20_000; "refusal just after the deadline")]
+#[test_case(|id| CallEvent::Refused(id, RefusalReason::QueueFull, None), 20_000; "queue full just after the deadline")]
+fn definite_not_run_at_the_deadline(event: fn(AttemptId) -> CallEvent, late_us: u64) {
+    let mut harness = CallHarness::new(WorkKind::NonIdempotent, 2);
+    let first = harness.start();
+    let deadline = Tick(0) + SECOND;
+    if late_us > 0 {
+        let wait = harness.step(deadline, CallEvent::Timer);
+        assert!(matches!(wait.as_slice(), [CallAction::WakeAt(at)] if *at > deadline), "{wait:?}");
+    }
+    let end = harness.step(Tick(deadline.0 + late_us), event(first));
+    let reason = NotRunReason::Expired;
+    assert!(matches!(outcome(&end), Some(Outcome::NotRun { reason: r, .. }) if r == reason));
+}
+
+/// Guards against a promise that isn't true: an attempt that was withdrawn says nothing about an earlier or another one.
+#[test]
+fn withdrawn_attempt_after_a_lost_one_is_unknown() {
+    let mut harness = CallHarness::new(WorkKind::Idempotent, 2);
+    let first = harness.start();
+    let (second, _) = sent_attempt(&harness.step(Tick(1), CallEvent::Lost(first))).unwrap();
+    let end = harness.step(Tick(0) + SECOND, CallEvent::Withdrawn(second));
+    assert_eq!(outcome(&end), Some(Outcome::Unknown));
+}
+
+/// The call doesn't wait for the gate's word for long, nor if the work may repeat.
+#[test_case(WorkKind::NonIdempotent, 25_000; "non-idempotent")]
+#[test_case(WorkKind::Idempotent, 0; "idempotent")]
+fn running_attempt_is_unknown_soon_after_the_deadline(kind: WorkKind, late_us: u64) {
+    let mut harness = CallHarness::new(kind, 2);
+    harness.start();
+    let end = harness.step(Tick(SECOND.as_micros() as u64 + late_us), CallEvent::Timer);
+    assert_eq!(outcome(&end), Some(Outcome::Unknown));
+}
+
 #[test]
 fn lost_idempotent_attempt_never_ends_as_not_run() {
     let mut harness = CallHarness::new(WorkKind::Idempotent, 2);
