--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -10,6 +10,7 @@
 mod quantile;
 mod retry_after;
 mod retry_budget;
+mod served_shares;
 mod service_times;
 mod slots;
 mod slowness;
@@ -21,7 +22,7 @@
 
 pub use {
     adaptive_limit::AdaptiveLimit,
-    admission_request::AdmissionRequest,
+    admission_request::{AdmissionRequest, refusal_margin},
     average::Average,
     cold_state::{ColdChange, ColdSource, ColdState},
     gate::{AdmissionDecision, Gate, RefusalReason},
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -17,7 +17,7 @@
     },
     crate::{
         attempt::{AttemptDecision, Ticket},
-        limits::{QueueKey, RefusalReason},
+        limits::{QueueKey, RefusalReason, refusal_margin},
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         schema::{Announcement, AttemptHeader, FleetKey, WireError},
@@ -305,7 +305,7 @@
         ticket: &Ticket,
     ) -> Result<SlotGuard, RefusalReason> {
         let (reply, decision) = oneshot::channel();
-        let key = QueueKey { urgency: ticket.urgency, caller: Arc::clone(&attempt.caller) };
+        let key = QueueKey::for_attempt(attempt, ticket.urgency);
         let start_deadlines = ticket.start_deadlines;
         self.shared.queue.push(QueueItem { key, start_deadlines, reply });
         match decision.await {
@@ -333,7 +333,10 @@
         shared.metrics.gate_runs.inc();
         let pool = self.current_pool(&announced);
         let limit = remaining + UPSTREAM_DEADLINE_MARGIN;
-        let result = timeout(limit, pool.send(req, attempt.repeatable)).await;
+        // The refusal of an attempt that has no connection in time arrives before the call's deadline.
+        let connect_limit = remaining.saturating_sub(refusal_margin(remaining));
+        let sent = pool.send_within(connect_limit, req, attempt.repeatable);
+        let result = timeout(limit, sent).await;
         let elapsed = shared.now().since(started);
         self.log_run(attempt, &result, remaining, elapsed);
         let gate = &shared.admission.gate;
@@ -363,6 +366,9 @@
                     }
                 }
             }
+            Ok(Err(UpstreamError::Expired)) => {
+                self.refuse_not_run(guard, attempt, RefusalReason::Expired)
+            }
             Ok(Err(UpstreamError::Unsent(e))) => {
                 // The next announcement makes the upstream available again.
                 shared.admission.remove_upstream();
@@ -396,7 +402,7 @@
         let waited = Duration::from_micros(attempt.budget_us).saturating_sub(remaining);
         let (end, status) = match result {
             Ok(Ok((res, _))) => ("answered", res.status().as_u16()),
-            Ok(Err(UpstreamError::Unsent(_))) => ("unsent", 0),
+            Ok(Err(UpstreamError::Unsent(_) | UpstreamError::Expired)) => ("unsent", 0),
             Ok(Err(UpstreamError::Lost(_))) => ("lost", 0),
             Err(_) => ("timed-out", 0),
         };
--- a/pistachiolane/src/node/gate/upstream_pool.rs
+++ b/pistachiolane/src/node/gate/upstream_pool.rs
@@ -60,6 +60,9 @@
     /// No byte of the request was sent.
     #[error("cannot connect to the upstream: {0}")]
     Unsent(String),
+    /// No connection was open in time, and no byte of the request was sent.
+    #[error("no connection to the upstream in time")]
+    Expired,
     /// At least part of the request may have been sent, and no response was received.
     #[error("the connection to the upstream was lost: {0}")]
     Lost(hyper::Error),
@@ -125,12 +128,26 @@
         req: Request<Body>,
         repeatable: bool,
     ) -> Result<(Response<Incoming>, UpstreamConnection), UpstreamError> {
-        let result = self.send_over_connection(req, repeatable).await;
-        match result {
+        self.send_within(CONNECT_TIMEOUT * 2, req, repeatable).await
+    }
+
+    /// Sends a request as [`Self::send`] does, if a connection is open within `connect_limit`.
+    ///
+    /// # Errors
+    /// Returns [`UpstreamError::Unsent`] and [`UpstreamError::Expired`] only if no byte of the request was sent.
+    pub async fn send_within(
+        &self,
+        connect_limit: Duration,
+        req: Request<Body>,
+        repeatable: bool,
+    ) -> Result<(Response<Incoming>, UpstreamConnection), UpstreamError> {
+        match self.send_over_connection(connect_limit, req, repeatable).await {
             Ok((res, mut connection)) => {
                 connection.record_response(&res);
                 Ok((res, connection))
             }
+            // A connection that was not open in time says nothing about the upstream.
+            Err(UpstreamError::Expired) => Err(UpstreamError::Expired),
             Err(e) => {
                 (self.on_lost)(&e.to_string());
                 Err(e)
@@ -140,6 +157,7 @@
 
     async fn send_over_connection(
         &self,
+        connect_limit: Duration,
         mut req: Request<Body>,
         repeatable: bool,
     ) -> Result<(Response<Incoming>, UpstreamConnection), UpstreamError> {
@@ -152,7 +170,8 @@
                 },
             }
         }
-        let mut connection = self.connect().await?;
+        let connecting = timeout(connect_limit, self.connect()).await;
+        let mut connection = connecting.map_err(|_e| UpstreamError::Expired)??;
         match connection.sender.try_send_request(req).await {
             Ok(res) => Ok((res, connection)),
             Err(mut e) => {
