--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -82,6 +82,15 @@
     start_host_with(store, capacity, &[]).await
 }
 
+/// Starts a node of a region, with an upstream that is not announced yet.
+pub async fn start_host_in_region(
+    store: Arc<PlatformStandIn>,
+    capacity: Capacity,
+    region: &str,
+) -> TestHost {
+    start_host_with(store, capacity, &[("region", region)]).await
+}
+
 /// Starts a node of a deployment with evacuations in a zone, with an upstream that takes a while and is not announced
 /// yet.
 pub async fn start_host_in_zone(store: Arc<PlatformStandIn>, zone: &str) -> TestHost {
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -503,6 +503,7 @@
             evacuated: cx.evacuated,
             allow_remote: true,
         };
+        // If only remote upstreams are allowed or usable, the byte budget doesn't refuse the request.
         let picked = pick(cx.table, req, rng)
             .filter(|p| {
                 p.candidate.distance != Distance::Remote || try_spend_inter_region_bytes(now, cx)
@@ -510,7 +511,11 @@
             .or_else(|| pick(cx.table, PickRequest { allow_remote: false, ..req }, rng));
         let Some(picked) = picked else {
             let is_full = self.queueable_attempts > 0 || self.was_refused_by_overload;
-            let reason = if is_full { NotRunReason::ServiceFull } else { NotRunReason::NoUpstream };
+            let reason = if is_full {
+                NotRunReason::ServiceFull
+            } else {
+                NotRunReason::without_upstream(cx.regions)
+            };
             let outcome = self.unsuccessful_outcome(now, cx, rng, reason);
             return self.finish(now, outcome);
         };
@@ -591,7 +596,7 @@
         }
         Outcome::NotRun {
             reason,
-            retry_after: retry_after(rng, cx.table.expected_wait(now, cx.evacuated)),
+            retry_after: retry_after(rng, cx.table.expected_wait(now, cx.regions, cx.evacuated)),
         }
     }
 
--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -252,8 +252,11 @@
     fn last_is_too_late(&self, now: Tick, gate: &Gate) -> bool {
         let position = u32::try_from(self.len()).unwrap_or(u32::MAX);
         let wait = gate.stated_rate.wait(now, position);
+        if wait.is_zero() {
+            return false;
+        }
         let last = self.longest_of_least_urgent().and_then(|key| self.sub_queues.get(key)?.back());
-        !wait.is_zero() && last.is_some_and(|a| now + wait > a.start_deadlines.deadline)
+        last.is_some_and(|a| now + wait > a.start_deadlines.deadline)
     }
 
     /// Returns the longest of the least urgent sub-queues; of several that are as long, the one whose last attempt
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -19,7 +19,10 @@
         attempt::{CallSpec, NotRunReason, Outcome},
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
-        routing::{Candidate, NO_UPSTREAM_RETRY_AFTER, ProbeBudgets, ServiceTable, next_probe},
+        routing::{
+            AllowedRegions, Candidate, ProbeBudgets, ServiceTable, next_probe,
+            retry_after_without_upstream,
+        },
         schema::{CallerLimits, WorkKind},
         tick::Tick,
     },
@@ -307,14 +310,15 @@
             }
             (None, _) if !shared.is_ready() => return Err(Rejection::NotReady),
             (None, _) => CallResult::NoResponse(Outcome::NotRun {
-                reason: NotRunReason::NoUpstream,
-                retry_after: NO_UPSTREAM_RETRY_AFTER,
+                reason: NotRunReason::without_upstream(&route.regions),
+                retry_after: retry_after_without_upstream(&route.regions),
             }),
             (Some(table), _) => {
-                self.eject_and_probe(&table);
+                self.eject_and_probe(&table, &route.regions);
                 self.driver.drive(&table, spec, outgoing, id).await
             }
         };
+        self.record_region_refusal(&result, id, &route);
         self.record_call(&result, id, &route, started, spec);
         let res = self.build_response(result);
         Ok(match caller_budget {
@@ -360,6 +364,31 @@
         );
     }
 
+    /// Logs and counts a call that no upstream ran because of the regions that it is limited to.
+    fn record_region_refusal(&self, result: &CallResult, id: &str, route: &ResolvedRoute) {
+        let CallResult::NoResponse(Outcome::NotRun { reason, .. }) = result else {
+            return;
+        };
+        let is_for_region = matches!(reason, NotRunReason::NoRegion | NotRunReason::NoUpstream);
+        let AllowedRegions::Only(names) = &route.regions else {
+            return;
+        };
+        if !is_for_region {
+            return;
+        }
+        let shared = &self.driver.shared;
+        Metrics::count(&shared.metrics.region_refusals, reason.name());
+        let table = shared.routing_table.load();
+        let upstreams =
+            table.service(&route.service).map_or(0, |t| t.allowed(&route.regions).count());
+        log::info!(
+            target: "entry", request = id, route = &*route.name, service = &*route.service,
+            reason = reason.name(), regions = names.join(",").as_str(), upstreams,
+            settings = route.version;
+            "no usable upstream in the allowed regions"
+        );
+    }
+
     fn route_rejection(&self, fault: RouteFault, head: &Parts) -> Rejection {
         match fault {
             RouteFault::Unauthorized(fault) => Rejection::Unauthorized(fault),
@@ -449,7 +478,7 @@
 
     /// Ejects stragglers, and probes the load of an upstream whose report is stale if a probe is
     /// due.
-    fn eject_and_probe(&self, table: &Arc<ServiceTable>) {
+    fn eject_and_probe(&self, table: &Arc<ServiceTable>, regions: &AllowedRegions) {
         let shared = &self.driver.shared;
         let now = shared.now();
         for candidate in table.eject_stragglers(now) {
@@ -463,7 +492,7 @@
         }
         let budget =
             ProbeBudgets { probes: &shared.probes, inter_region_bytes: &shared.inter_region_bytes };
-        if let Some(candidate) = next_probe(table, now, budget) {
+        if let Some(candidate) = next_probe(table, now, regions, budget) {
             shared.metrics.probes.inc();
             let shared = Arc::clone(shared);
             tokio::spawn(async move { probe(&shared, &candidate).await });
--- a/pistachiolane/src/node/entry/resolved_route.rs
+++ b/pistachiolane/src/node/entry/resolved_route.rs
@@ -84,12 +84,7 @@
                 let workspace =
                     authenticate(routes, route, &head.headers).map_err(RouteFault::Unauthorized)?;
                 let draw = rand::rng().random_range(0.0..1.0);
-                Self::for_route(shared, &tree, route, draw)
-                    .map(|resolved| {
-                        Self { keys_required: routes.keys_required, ..resolved }
-                            .with_workspace(workspace)
-                    })
-                    .ok_or(RouteFault::NotFound)
+                Self::for_route(shared, &tree, route, workspace, draw).ok_or(RouteFault::NotFound)
             }
             // The routes may require keys, so nothing is served without them.
             None if tree.routes_version() > 0 => Err(RouteFault::Unusable),
@@ -97,25 +92,20 @@
         }
     }
 
-    /// Applies the priority and the regions of the caller's workspace.
-    fn with_workspace(self, workspace: Option<Arc<Workspace>>) -> Self {
-        let Some(workspace) = workspace else {
-            return self;
-        };
-        Self {
-            priority: workspace.priority.unwrap_or(self.priority),
-            regions: self.regions.intersection(&workspace.regions),
-            workspace: Some(workspace),
-            ..self
-        }
-    }
-
     /// Returns the name of the caller's workspace; empty if there is none.
     pub fn workspace_name(&self) -> Arc<str> {
         self.workspace.as_ref().map_or_else(|| Arc::from(""), |w| Arc::clone(&w.name))
     }
 
-    fn for_route(shared: &Shared, tree: &SettingsTree, route: &Route, draw: f64) -> Option<Self> {
+    /// Uses a route of the settings, with the priority and the regions of the caller's workspace.
+    fn for_route(
+        shared: &Shared,
+        tree: &SettingsTree,
+        route: &Route,
+        workspace: Option<Arc<Workspace>>,
+        draw: f64,
+    ) -> Option<Self> {
+        let priority = workspace.as_ref().and_then(|w| w.priority);
         Some(Self {
             name: Arc::clone(&route.name),
             service: Arc::clone(route.select_target(draw)?),
@@ -126,10 +116,10 @@
             max_attempts: route.max_attempts,
             target_latency: route.target_latency,
             class: request_class(&route.name),
-            priority: route.priority,
-            regions: route.regions.clone(),
-            workspace: None,
-            keys_required: false,
+            priority: priority.unwrap_or(route.priority),
+            regions: route.regions_for(workspace.as_deref()),
+            workspace,
+            keys_required: tree.routes().is_some_and(|routes| routes.keys_required),
         })
     }
 
--- a/pistachiolane/src/node/gate/reopening.rs
+++ b/pistachiolane/src/node/gate/reopening.rs
@@ -2,19 +2,19 @@
 
 use {
     crate::node::{
-        gate::{
-            gate_server::GateServer,
-            upstream_statements::{StatementSource, apply_statements, read_first_statements},
-        },
+        gate::{gate_server::GateServer, load_probe::read_health},
         shared::Shared,
     },
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Maximum number of reads of the upstream's state before the gate admits attempts without it. Each read has a time
 /// limit; an upstream that answers none of them in two seconds hangs, and shows it to the first requests as well.
 const MAX_READS: u32 = 4;
 
+/// Time limit of one read.
+const READ_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Reads the state of the upstream whenever the zone is no longer evacuated, and then lets the gate admit attempts: an
 /// upstream without requests for a while may be cold. Runs until its task is dropped.
 pub async fn run_reopening(shared: Arc<Shared>, gate: Arc<GateServer>) {
@@ -33,8 +33,7 @@
         let Some(announced) = shared.upstream.load_full() else {
             return;
         };
-        if let Some(headers) = read_first_statements(shared, gate, &announced).await {
-            apply_statements(shared, &announced, &headers, StatementSource::Other);
+        if read_health(shared, gate, &announced, READ_TIMEOUT).await {
             return;
         }
     }
