Throttle at the entry and budgets for further attempts; abandoned requests keep their slots

Cause: a call that met a full service asked up to four gates. Each refused attempt took processor time at both ends, so hosts of a tenth of a core answered late and more was full. Slots of cancelled and lost requests were given away at once while the upstream still ran them, so it turned away requests that the gate had admitted.

Change: EntryThrottle rejects calls before the first attempt, per service, allowed regions and urgency (nested calls last), from what the entry's calls met in the last second; never while a report of the last 250 ms shows a free slot. Further attempts draw on budgets of the service, 18 in 100 calls after busy and 8 in 100 after queue-full; without budget first attempts may queue. Retry-After grows with the share of rejected calls. A request without a complete response keeps its slot for 1.5 times its expected time from its start (25 ms to 1 s); so does one that the upstream turned away.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod load;
 pub mod membership;
+pub mod overload;
 pub mod policy;
 pub mod relay;
 pub mod report;
--- a/lab/src/stand_in/capacity.rs
+++ b/lab/src/stand_in/capacity.rs
@@ -35,6 +35,8 @@
     pub max_added_slowness_percent: u32,
     /// Behaviour when slots and queue are full.
     pub when_full: WhenFull,
+    /// Whether a request ends when its connection is closed; otherwise it runs to its end.
+    pub notices_disconnects: bool,
 }
 
 impl Default for Capacity {
@@ -48,6 +50,7 @@
             slowdown_percent: 100,
             max_added_slowness_percent: 0,
             when_full: WhenFull::Refuse,
+            notices_disconnects: true,
         }
     }
 }
--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -317,6 +317,10 @@
             let service_time = self.capacity.service_time(self.running(), self.started.elapsed());
             sleep(fixed_time.unwrap_or(service_time)).await;
         };
+        if !self.capacity.notices_disconnects {
+            run.await;
+            return WorkResult::Done;
+        }
         tokio::select! {
             () = run => WorkResult::Done,
             () = wait_closed(socket) => WorkResult::Disconnected,
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -45,6 +45,12 @@
 /// Minimum delay before a hedge, so that very small latency estimates do not double the traffic.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(2);
 
+/// Further attempts after refusals as busy, per hundred calls of a service that were sent.
+const ATTEMPTS_AFTER_BUSY_PERCENT: u32 = 18;
+
+/// Further attempts after refusals as full, per hundred calls of a service that were sent.
+const ATTEMPTS_AFTER_FULL_PERCENT: u32 = 8;
+
 /// State that a call shares with the other calls of its node.
 #[derive(Clone, Copy, Debug)]
 pub struct CallContext<'a> {
@@ -125,7 +131,7 @@
         if self.is_finished {
             return Vec::new();
         }
-        match event {
+        let actions = match event {
             CallEvent::Started => self.on_started(now, cx, rng),
             CallEvent::Refused(id, reason, report) => {
                 self.on_refused(now, cx, rng, id, reason, report)
@@ -151,16 +157,48 @@
             CallEvent::Settled(id, settlement) => self.on_settled(now, cx, rng, id, settlement),
             CallEvent::Timer => self.on_timer(now, cx, rng),
             CallEvent::CallerDisconnected => self.finish(now, Outcome::Unknown),
+        };
+        if let Some(CallAction::Finish(outcome)) = actions.last() {
+            self.record_load(now, cx, *outcome);
+        }
+        actions
+    }
+
+    /// Records at the service's throttle whether the upstreams had room for the call; other ends show nothing about load.
+    fn record_load(&self, now: Tick, cx: CallContext<'_>, outcome: Outcome) {
+        let throttle = cx.table.state.throttle(cx.regions);
+        let urgency = self.spec.urgency;
+        match outcome {
+            Outcome::Answer(_) => throttle.record_accepted(now, urgency),
+            Outcome::NotRun { reason: NotRunReason::Throttled, .. } => {
+                throttle.record_rejected(now, urgency);
+            }
+            Outcome::NotRun { reason: NotRunReason::ServiceFull, .. } => {
+                throttle.record_refused(now, urgency);
+            }
+            _ => {}
         }
     }
 
+    /// Whether the call is rejected before its first attempt: calls like it are refused, and no recent report shows room.
+    fn is_throttled<R: Rng>(&self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> bool {
+        cx.table.state.throttle(cx.regions).rejects(now, self.spec.urgency, rng)
+            && !cx.table.has_room(now, cx.regions, &[])
+    }
+
     fn on_started<R: Rng>(
         &mut self,
         now: Tick,
         cx: CallContext<'_>,
         rng: &mut R,
     ) -> Vec<CallAction> {
+        if self.is_throttled(now, cx, rng) {
+            let outcome = self.unsuccessful_outcome(now, cx, rng, NotRunReason::Throttled);
+            return self.finish(now, outcome);
+        }
         cx.table.state.retries.deposit(self.spec.retry_percent);
+        cx.table.state.attempts_after_busy.deposit(ATTEMPTS_AFTER_BUSY_PERCENT);
+        cx.table.state.attempts_after_full.deposit(ATTEMPTS_AFTER_FULL_PERCENT);
         let mut actions = self.next_attempt(now, cx, rng);
         if self.is_finished {
             return actions;
@@ -219,13 +257,30 @@
         if attempt.hedge || !self.in_flight.is_empty() {
             return Vec::new();
         }
-        if reason == RefusalReason::Shed && !self.try_spend_retry_after_shed(cx) {
+        let may_continue = match reason {
+            RefusalReason::Shed => self.try_spend_retry_after_shed(cx),
+            RefusalReason::QueueFull => self.try_spend_further_attempt(now, cx),
+            RefusalReason::Busy => {
+                // The call has asked for no place in a queue yet. Without budget, first attempts may queue.
+                let _withdrawn = cx.table.state.attempts_after_busy.try_withdraw();
+                true
+            }
+            _ => true,
+        };
+        if !may_continue {
             let outcome = self.unsuccessful_outcome(now, cx, rng, NotRunReason::ServiceFull);
             return self.finish(now, outcome);
         }
         self.next_attempt(now, cx, rng)
     }
 
+    /// Takes one further attempt from the budget after a gate refused the request as full; it is free if a recent report
+    /// shows room at another gate.
+    fn try_spend_further_attempt(&self, now: Tick, cx: CallContext<'_>) -> bool {
+        cx.table.has_room(now, cx.regions, &self.excluded_nodes)
+            || cx.table.state.attempts_after_full.try_withdraw()
+    }
+
     /// Takes one retry from the budget for a further attempt after an upstream shed the request.
     fn try_spend_retry_after_shed(&self, cx: CallContext<'_>) -> bool {
         !self.spec.is_retry && cx.table.state.retries.try_withdraw()
@@ -435,7 +490,9 @@
             let outcome = self.unsuccessful_outcome(now, cx, rng, NotRunReason::BodySpent);
             return self.finish(now, outcome);
         }
-        let is_direct = self.spec.replayable && self.direct_attempts < MAX_DIRECT_ATTEMPTS;
+        let is_direct = self.spec.replayable
+            && self.direct_attempts < MAX_DIRECT_ATTEMPTS
+            && cx.table.state.attempts_after_busy.available() > 0;
         let req = PickRequest {
             now,
             excluded_nodes: &self.excluded_nodes,
@@ -526,7 +583,10 @@
         if self.may_have_run {
             return Outcome::Unknown;
         }
-        Outcome::NotRun { reason, retry_after: retry_after(rng, cx.table.expected_wait(now)) }
+        let throttle = cx.table.state.throttle(cx.regions);
+        let throttled_wait = throttle.expected_wait(now, self.spec.urgency);
+        let wait = cx.table.expected_wait(now).max(throttled_wait);
+        Outcome::NotRun { reason, retry_after: retry_after(rng, wait) }
     }
 
     fn finish(&mut self, now: Tick, outcome: Outcome) -> Vec<CallAction> {
--- a/pistachiolane/src/attempt/call_spec.rs
+++ b/pistachiolane/src/attempt/call_spec.rs
@@ -1,6 +1,6 @@
 //! Limits and properties of one call.
 
-use crate::{schema::WorkKind, tick::Tick};
+use crate::{limits::Urgency, schema::WorkKind, tick::Tick};
 
 /// Default number of retries and hedges per hundred requests, as in the settings of a service.
 const DEFAULT_RETRY_PERCENT: u32 = 10;
@@ -32,6 +32,8 @@
         pub class: u32,
         /// Priority under overload; 0 is served first.
         pub priority: u8,
+        /// Order in which the entry rejects calls under overload.
+        pub urgency: Urgency,
     }
 }
 
@@ -49,6 +51,7 @@
             target: deadline,
             class: 0,
             priority: 0,
+            urgency: Urgency::High,
         }
     }
 }
--- a/pistachiolane/src/attempt/outcome.rs
+++ b/pistachiolane/src/attempt/outcome.rs
@@ -8,6 +8,8 @@
         /// The upstreams that were tried are at capacity, or an upstream shed the request and the retry
         /// budget is used up.
         ServiceFull,
+        /// The entry rejected the call before any attempt, because the service refuses too many calls.
+        Throttled,
         /// No usable upstream is left: the service has none, or each refused the request or couldn't be
         /// reached, for reasons other than load.
         NoUpstream,
@@ -40,6 +42,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::ServiceFull => "service-full",
+            Self::Throttled => "throttled",
             Self::NoUpstream => "no-upstream",
             Self::Expired => "expired",
             Self::Quarantined => "quarantined",
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -1,9 +1,11 @@
-//! Limits: slots and queue of a gate, and the budgets for retries, probes, platform calls and
+//! Limits: slots and queue of a gate, the throttle of an entry, and the budgets for retries, probes, platform calls and
 //! inter-region bytes.
 
+mod abandoned_run;
 mod adaptive_limit;
 mod admission_request;
 mod average;
+mod entry_throttle;
 mod gate;
 mod platform_share;
 mod quantile;
@@ -15,11 +17,14 @@
 mod stated_rate;
 mod token_bucket;
 mod wait_queue;
+mod window_counter;
 
 pub use {
+    abandoned_run::abandoned_run_time,
     adaptive_limit::AdaptiveLimit,
     admission_request::AdmissionRequest,
     average::Average,
+    entry_throttle::{EntryThrottle, ThrottleState, Urgency},
     gate::{AdmissionDecision, Gate, RefusalReason},
     platform_share::{
         MILLICALLS_PER_CALL, WATCHERS_PER_REGION, platform_budget_millicalls,
@@ -34,4 +39,5 @@
     stated_rate::StatedRate,
     token_bucket::TokenBucket,
     wait_queue::{Dequeued, QueueKey, StartDeadlines, WaitQueue},
+    window_counter::WindowCounter,
 };
--- a/pistachiolane/src/limits/retry_budget.rs
+++ b/pistachiolane/src/limits/retry_budget.rs
@@ -28,6 +28,12 @@
 }
 
 impl RetryBudget {
+    /// Creates a full budget that stores this many retries.
+    pub fn with_reserve(retries: u64) -> Self {
+        let units = retries * UNITS_PER_RETRY;
+        Self { units: AtomicU64::new(units), max_units: AtomicU64::new(units) }
+    }
+
     /// Sets the maximum reserve in hundredths of a retry; a balance above it is discarded.
     pub fn set_reserve(&self, hundredths: u64) {
         self.max_units.store(hundredths, Ordering::Relaxed);
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -31,6 +31,13 @@
     end: &'static str,
 }
 
+/// Labels of a call that no upstream ran.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct NotRunLabels {
+    service: String,
+    reason: &'static str,
+}
+
 /// Maximum number of routes and upstreams with their own series; further ones share the series [`OTHER`].
 const MAX_SERIES_NAMES: usize = 512;
 
@@ -143,6 +150,8 @@
 metrics! {
     /// Calls that ended, by outcome.
     calls: Cases,
+    /// Calls that no upstream ran, by service and reason; `throttled` for those rejected before an attempt.
+    calls_not_run: Family<NotRunLabels, Counter>,
     /// Attempts sent to gates.
     attempts: Counter,
     /// Attempts that gates refused or that could not be sent, by reason.
@@ -218,6 +227,12 @@
         cases.get_or_create(&Case { case }).get()
     }
 
+    /// Counts a call that no upstream ran.
+    pub fn count_not_run(&self, service: &str, reason: &'static str) {
+        let labels = NotRunLabels { service: service.to_owned(), reason };
+        self.calls_not_run.get_or_create(&labels).inc();
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/pistachiolane/src/node/entry/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -10,8 +10,10 @@
         shared::Shared,
     },
     crate::{
-        attempt::{AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec, Outcome},
-        limits::RefusalReason,
+        attempt::{
+            AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec, NotRunReason, Outcome,
+        },
+        limits::{RefusalReason, WindowCounter},
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         routing::{AllowedRegions, Candidate, ServiceTable},
@@ -258,7 +260,10 @@
                 CallAction::Settle { id, candidate } => self.settle(id, candidate),
                 CallAction::Cancel(id) => self.cancel(id),
                 CallAction::WakeAt(at) => self.wake_at = at,
-                CallAction::Finish(outcome) => self.outcome = Some(outcome),
+                CallAction::Finish(outcome) => {
+                    self.record_not_run(&outcome);
+                    self.outcome = Some(outcome);
+                }
             }
         }
     }
@@ -277,6 +282,28 @@
         );
     }
 
+    /// Counts a call that ends as not run, and logs the inputs if the throttle rejected it.
+    fn record_not_run(&self, outcome: &Outcome) {
+        let Outcome::NotRun { reason, retry_after } = outcome else {
+            return;
+        };
+        let shared = &self.driver.shared;
+        shared.metrics.count_not_run(&self.table.name, reason.name());
+        if *reason != NotRunReason::Throttled {
+            return;
+        }
+        let urgency = self.spec.urgency;
+        let state = self.table.state.throttle(&self.req.regions).state(shared.now(), urgency);
+        log::info!(
+            target: "entry", request = self.request_id, service = &*self.table.name,
+            urgency = urgency.name(), requests = state.requests, more_urgent = state.more_urgent,
+            accepted = state.accepted, refused = state.refused, probability = state.probability,
+            window_ms = WindowCounter::WINDOW.as_millis() as u64,
+            retry_after_ms = retry_after.as_millis() as u64;
+            "call throttled, not run"
+        );
+    }
+
     /// Logs the result of an attempt, unless it is a response.
     fn log_event(&self, event: &CallEvent) {
         let (id, message, why) = match event {
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -16,6 +16,7 @@
     },
     crate::{
         attempt::{CallSpec, NotRunReason, Outcome},
+        limits::Urgency,
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         routing::{Candidate, NO_UPSTREAM_RETRY_AFTER, ProbeBudgets, ServiceTable, next_probe},
@@ -367,6 +368,8 @@
         let shared = &self.driver.shared;
         let policy = &route.policy;
         let is_retry = parts.headers.contains_key(headers::RETRIED);
+        let is_nested =
+            headers::parse_number(&parts.headers, &headers::DEPTH).is_some_and(|depth| depth > 0);
         let host = host_name(&parts);
         let budget = headers::parse_number(&parts.headers, &shared.dialect.budget_ms)
             .map_or(policy.timeout, |ms| policy.timeout.min(Duration::from_millis(ms)));
@@ -389,6 +392,7 @@
             target: started + route.target_latency.min(budget),
             class: route.class,
             priority: route.priority,
+            urgency: Urgency::new(route.priority, is_nested),
         };
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
         let (body_start, body_length) = body.start();
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -16,7 +16,7 @@
     },
     crate::{
         attempt::{AttemptDecision, Ticket},
-        limits::{QueueKey, RefusalReason, StartDeadlines},
+        limits::{QueueKey, RefusalReason, StartDeadlines, abandoned_run_time},
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         schema::{Announcement, AttemptHeader, FleetKey, WireError},
@@ -113,12 +113,16 @@
 }
 
 /// Guard of a running attempt. When dropped, it records the end in the ledger and then frees the
-/// slot.
+/// slot, later if the upstream may still run the request.
 #[derive(Debug)]
 struct RunGuard {
     shared: Arc<Shared>,
     ticket: Option<Ticket>,
-    _slot: SlotGuard,
+    slot: Option<SlotGuard>,
+    started: Tick,
+    class: u32,
+    /// Whether the request no longer occupies the upstream, or never did.
+    has_ended: bool,
 }
 
 impl Drop for RunGuard {
@@ -126,6 +130,12 @@
         if let Some(ticket) = &self.ticket {
             ticket.finish(self.shared.now());
         }
+        let Some(slot) = self.slot.take().filter(|_| !self.has_ended) else {
+            return;
+        };
+        let elapsed = self.shared.now().since(self.started);
+        let expected = self.shared.admission.times.expected(self.class);
+        slot.release_after(abandoned_run_time(elapsed, expected));
     }
 }
 
@@ -282,7 +292,14 @@
             return self.refuse(&attempt, RefusalReason::Retired);
         }
         let ticket = Some(waiting.ticket.clone());
-        let guard = RunGuard { shared: Arc::clone(shared), ticket, _slot: slot };
+        let guard = RunGuard {
+            shared: Arc::clone(shared),
+            ticket,
+            slot: Some(slot),
+            started: shared.now(),
+            class: attempt.class,
+            has_ended: false,
+        };
         self.run_attempt(guard, &attempt, fingerprint, deadline, req).await
     }
 
@@ -315,7 +332,7 @@
 
     async fn run_attempt(
         &self,
-        guard: RunGuard,
+        mut guard: RunGuard,
         attempt: &AttemptHeader,
         fingerprint: Option<Fingerprint>,
         deadline: Tick,
@@ -353,6 +370,8 @@
                         if res.body().is_end_stream() {
                             pooled.return_to_pool();
                         }
+                        // An upstream that turns a request away is fuller than the slots in use here show.
+                        guard.has_ended = reason != RefusalReason::Shed;
                         self.refuse_not_run(guard, attempt, reason)
                     }
                     ResponseKind::Mismatched(why) => {
@@ -369,6 +388,7 @@
             Ok(Err(e)) => {
                 gate.observe(shared.now(), elapsed, false);
                 let has_crashed = self.crash_detector.has_crashed(shared, &announced, &pool).await;
+                guard.has_ended = has_crashed;
                 match fingerprint.filter(|_| has_crashed) {
                     Some(fingerprint) => self.upstream_crashed(attempt, fingerprint, &announced),
                     None => self.outcome_unknown(attempt, &e.to_string()),
@@ -482,7 +502,7 @@
     /// response is detected; a large one is streamed.
     async fn forward_response(
         &self,
-        guard: RunGuard,
+        mut guard: RunGuard,
         mut pooled: PooledConnection,
         attempt: &AttemptHeader,
         deadline: Tick,
@@ -498,6 +518,7 @@
             match timeout(limit, body.collect()).await {
                 Ok(Ok(collected)) => {
                     pooled.return_to_pool();
+                    guard.has_ended = true;
                     drop(guard);
                     full(collected.to_bytes())
                 }
@@ -513,8 +534,9 @@
                 }
             }
         } else {
-            let on_end = |(mut pooled, guard): (PooledConnection, RunGuard)| {
+            let on_end = |(mut pooled, mut guard): (PooledConnection, RunGuard)| {
                 pooled.return_to_pool();
+                guard.has_ended = true;
                 drop(guard);
             };
             GuardedBody::new(stream(body), (pooled, guard), on_end).boxed_unsync()
@@ -578,7 +600,13 @@
     }
 
     /// Logs and refuses an attempt of which nothing was sent to the upstream.
-    fn refuse_unsent(&self, guard: RunGuard, attempt: &AttemptHeader, why: &str) -> Response<Body> {
+    fn refuse_unsent(
+        &self,
+        mut guard: RunGuard,
+        attempt: &AttemptHeader,
+        why: &str,
+    ) -> Response<Body> {
+        guard.has_ended = true;
         log::warn!(
             target: "gate", attempt = attempt.name().as_str(), service = &*attempt.service, why;
             "attempt not sent to the upstream"
--- a/pistachiolane/src/node/gate/queue_task.rs
+++ b/pistachiolane/src/node/gate/queue_task.rs
@@ -5,6 +5,7 @@
     crate::node::shared::Shared,
     std::sync::Arc,
     tokio::{
+        runtime::Handle,
         sync::{Notify, mpsc, oneshot},
         time::{Duration, sleep},
     },
@@ -44,6 +45,16 @@
     pub fn new(shared: Arc<Shared>) -> Self {
         Self { shared }
     }
+
+    /// Releases the slot after a delay, or at once if no runtime is left to wait in.
+    pub fn release_after(self, delay: Duration) {
+        if let Ok(runtime) = Handle::try_current() {
+            runtime.spawn(async move {
+                sleep(delay).await;
+                drop(self);
+            });
+        }
+    }
 }
 
 impl Drop for SlotGuard {
--- a/pistachiolane/src/routing/allowed_regions.rs
+++ b/pistachiolane/src/routing/allowed_regions.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 /// Regions whose upstreams may run a request; a route and a workspace may each restrict them.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub enum AllowedRegions {
     /// All regions.
     #[default]
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -1,12 +1,13 @@
 //! Upstreams of one service, with measurements of the service as a whole.
 
 use {
-    super::{Candidate, Distance},
+    super::{AllowedRegions, Candidate, Distance},
     crate::{
-        limits::{Average, Quantile, RetryBudget},
+        limits::{Average, EntryThrottle, Quantile, RetryBudget},
         schema::GateState,
         tick::Tick,
     },
+    papaya::HashMap,
     std::{sync::Arc, time::Duration},
 };
 
@@ -26,11 +27,25 @@
 /// Retry delay while a service has no usable upstream; a restarting upstream is back within a second.
 pub const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(700);
 
+/// Number of further attempts after refusals for load that a service's budget stores: enough for a moment in which an
+/// entry's reports are wrong.
+const FURTHER_ATTEMPT_RESERVE: u64 = 10;
+
+/// Age up to which a load report shows that an upstream has room; later, other entries may have filled it.
+const ROOM_MAX_AGE: Duration = Duration::from_millis(250);
+
 /// Measurements of a service that are kept when its upstreams change.
 #[derive(Debug)]
 pub struct ServiceState {
     /// Budget of retries and hedges.
     pub retries: RetryBudget,
+    /// Budget of further attempts after a gate refused a call as busy.
+    pub attempts_after_busy: RetryBudget,
+    /// Budget of further attempts after a gate refused a call as full.
+    pub attempts_after_full: RetryBudget,
+    /// Throttles of the calls of the service by the regions that may run them: one region may be full while others
+    /// have room. The settings bound their number.
+    throttles: HashMap<AllowedRegions, Arc<EntryThrottle>>,
     /// Latency after which a hedge is worth its cost.
     pub hedge_after: Quantile,
     /// Average bytes of a request and its response.
@@ -41,12 +56,26 @@
     fn default() -> Self {
         Self {
             retries: RetryBudget::default(),
+            attempts_after_busy: RetryBudget::with_reserve(FURTHER_ATTEMPT_RESERVE),
+            attempts_after_full: RetryBudget::with_reserve(FURTHER_ATTEMPT_RESERVE),
+            throttles: HashMap::new(),
             hedge_after: Quantile::new(HEDGE_QUANTILE_PERMILLE),
             bytes: Average::default(),
         }
     }
 }
 
+impl ServiceState {
+    /// Returns the throttle of the calls that these regions may run.
+    pub fn throttle(&self, regions: &AllowedRegions) -> Arc<EntryThrottle> {
+        let throttles = self.throttles.pin();
+        if let Some(throttle) = throttles.get(regions) {
+            return Arc::clone(throttle);
+        }
+        Arc::clone(throttles.get_or_insert_with(regions.clone(), Arc::default))
+    }
+}
+
 /// Upstreams of one service as observed by one entry.
 #[derive(Debug)]
 pub struct ServiceTable {
@@ -98,6 +127,24 @@
         usable.map(backlog_us).min().map_or(NO_UPSTREAM_RETRY_AFTER, Duration::from_micros)
     }
 
+    /// Whether a recent report shows a free slot at an upstream that may run the request and isn't excluded.
+    pub fn has_room(&self, now: Tick, regions: &AllowedRegions, excluded_nodes: &[u64]) -> bool {
+        let has_free_slot = |c: &Candidate| {
+            let report = c.last_report();
+            let used = u32::from(report.running) + u32::from(report.queued) + c.sent_since_report();
+            used < u32::from(report.slots)
+        };
+        self.candidates.iter().any(|c| {
+            c.report_age(now).is_some_and(|age| age <= ROOM_MAX_AGE)
+                && has_free_slot(c)
+                && c.is_usable(now)
+                && !c.is_ejected(now)
+                && c.state() != GateState::Shedding
+                && regions.allows(&c.member.region)
+                && !excluded_nodes.contains(&c.member.node)
+        })
+    }
+
     /// Ejects upstreams whose service time is far above the median; returns those newly ejected.
     ///
     /// At most a third of the upstreams are ejected at any time.
