--- a/pistachiolane/src/attempt/outcome.rs
+++ b/pistachiolane/src/attempt/outcome.rs
@@ -11,6 +11,8 @@
         /// The upstreams that were tried are at capacity, or an upstream shed the request and the retry
         /// budget is used up.
         ServiceFull,
+        /// The entry rejected the call before any attempt, because the service refuses too many calls.
+        Throttled,
         /// No usable upstream is left in the allowed regions: the service has none there, or each refused the request or couldn't be
         /// reached, for reasons other than load.
         NoUpstream,
@@ -50,6 +52,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::ServiceFull => "service-full",
+            Self::Throttled => "throttled",
             Self::NoUpstream => "no-upstream",
             Self::Expired => "expired",
             Self::Quarantined => "quarantined",
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -1,10 +1,12 @@
-//! Limits: slots and queue of a gate, and the budgets for retries, probes, platform calls and
+//! Limits: slots and queue of a gate, the throttle of an entry, and the budgets for retries, probes, platform calls and
 //! inter-region bytes.
 
+mod abandoned_run;
 mod adaptive_limit;
 mod admission_request;
 mod average;
 mod cold_state;
+mod entry_throttle;
 mod gate;
 mod platform_share;
 mod quantile;
@@ -18,13 +20,16 @@
 mod token_bucket;
 mod urgency;
 mod wait_queue;
+mod window_counter;
 mod zone_state;
 
 pub use {
+    abandoned_run::abandoned_run_time,
     adaptive_limit::AdaptiveLimit,
     admission_request::{AdmissionRequest, refusal_margin},
     average::Average,
     cold_state::{ColdChange, ColdSource, ColdState},
+    entry_throttle::{CallUrgency, EntryThrottle, ThrottleState},
     gate::{AdmissionDecision, Gate, RefusalReason},
     platform_share::{
         MILLICALLS_PER_CALL, WATCHERS_PER_REGION, platform_budget_millicalls,
@@ -40,5 +45,6 @@
     token_bucket::TokenBucket,
     urgency::Urgency,
     wait_queue::{Dequeued, QueueKey, StartDeadlines, WaitQueue},
+    window_counter::WindowCounter,
     zone_state::{ZoneEvacuation, ZoneState},
 };
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -17,6 +17,7 @@
     },
     crate::{
         attempt::{CallSpec, NotRunReason, Outcome},
+        limits::CallUrgency,
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         routing::{
@@ -409,6 +410,10 @@
         let shared = &self.driver.shared;
         let policy = &route.policy;
         let is_retry = parts.headers.contains_key(headers::RETRIED);
+        // Where keys are required, only calls of upstreams come without a workspace.
+        let is_nested = (route.keys_required && route.workspace.is_none())
+            || headers::parse_number(&parts.headers, &headers::DEPTH)
+                .is_some_and(|depth| depth > 0);
         let host = host_name(&parts);
         let budget = headers::parse_number(&parts.headers, &shared.dialect.budget_ms)
             .map_or(policy.timeout, |ms| policy.timeout.min(Duration::from_millis(ms)));
@@ -434,6 +439,7 @@
             target: started + route.target_latency.min(budget),
             class: route.class,
             priority: route.priority,
+            urgency: CallUrgency::new(route.priority, is_nested),
         };
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
         let (body_start, body_length) = body.start();
