A full queue gives up late attempts first

Cause: a queue over its bound shed the newest attempt, which could still be on time, and kept those that were late already; these waited until their deadline while others overtook them, and their callers could no longer try elsewhere. Change: over the bound, an attempt that will be late is shed before the newest one. Measured: full_queue_sheds_late_attempts_first, red before; the tests of the limits pass.

--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -21,8 +21,8 @@
     Expired(T),
     /// The upstream is draining or no longer announces itself, or its zone is evacuated; the item is not run there.
     UpstreamUnavailable(T),
-    /// The queue exceeds its bound, or what the rate in force starts in time, and the item was the newest of the
-    /// longest least urgent sub-queue; it is not run.
+    /// The queue exceeds its bound, or what the rate in force starts in time. The item would have been late, or was the
+    /// newest of the longest least urgent sub-queue; it is not run.
     Shed(T),
 }
 
@@ -188,6 +188,12 @@
             gate.release_queue_place();
             return Some(Dequeued::UpstreamUnavailable(attempt.item));
         }
+        if self.len() > gate.queue_bound() as usize
+            && let Some((key, index)) = self.find_late(now)
+        {
+            gate.release_queue_place();
+            return self.remove(&key, index).map(|attempt| Dequeued::Shed(attempt.item));
+        }
         if self.len() > gate.queue_bound() as usize || self.last_is_too_late(now, gate) {
             gate.release_queue_place();
             return self.shed_newest_of_longest().map(Dequeued::Shed);
@@ -226,6 +232,15 @@
         })
     }
 
+    /// Finds an attempt that will be late, of the least urgent ones first. While the queue is full, those that can be on
+    /// time go before it until its deadline, and its caller could not try again by then.
+    fn find_late(&self, now: Tick) -> Option<(QueueKey, usize)> {
+        self.sub_queues.iter().rev().find_map(|(key, attempts)| {
+            let index = attempts.iter().position(|a| a.start_deadlines.on_time <= now)?;
+            Some((key.clone(), index))
+        })
+    }
+
     /// Returns the place of the next attempt that is not deferred by a slow phase of the upstream: that of
     /// the sub-queue whose turn it is, or else of the most urgent other one.
     fn next_startable(&self, now: Tick, gate: &Gate) -> Option<(QueueKey, usize)> {
--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -365,6 +365,28 @@
     assert_eq!(queue.next(Tick(5), &gate, |_| false), Some(Dequeued::Run(3)));
 }
 
+/// Pattern: a full queue beside a request that is late already. Guards against holding the late one until its deadline,
+/// when its caller can no longer try elsewhere, and shedding one that can be on time in its place.
+#[test]
+fn full_queue_sheds_late_attempts_first() {
+    let gate = gate(2);
+    for _ in 0..2 {
+        assert_eq!(gate.admit_within(SECOND, true), AdmissionDecision::Run);
+    }
+    let mut queue = WaitQueue::default();
+    for item in 0..6 {
+        assert_eq!(gate.admit_within(SECOND, true), AdmissionDecision::Queue);
+        let on_time = Tick(if item == 1 { 50_000 } else { 500_000 });
+        let service_time = Duration::from_millis(100);
+        let start = StartDeadlines { deadline: Tick(2_000_000), on_time, service_time };
+        queue.push(queue_key(""), start, item);
+    }
+    let shed =
+        [queue.next(Tick(100_000), &gate, |_| false), queue.next(Tick(100_000), &gate, |_| false)];
+    assert_eq!(shed, [Some(Dequeued::Shed(1)), Some(Dequeued::Shed(5))]);
+    assert_eq!(queue.next(Tick(100_000), &gate, |_| false), None);
+}
+
 fn queue_key_of(gate: &Gate, req: &AdmissionRequest) -> QueueKey {
     QueueKey { urgency: gate.urgency(req), caller: Arc::from("") }
 }
