Limits of workspaces that hold over all nodes

Cause: a workspace's rate and burst were settings without effect, and a limit at each node cannot hold over a fleet.

Change: limits/shared/ keeps a token bucket for each limit at an owner node, chosen by rendezvous hash. Tokens move between the owner and entries and are never copied; entries report and request in one report at a time and limit, in a new gossip packet body. The entry checks each request right after its route was resolved and answers 429 with reason `limit` and a Retry-After beyond the limit.

--- a/lab/src/faults/simulation.rs
+++ b/lab/src/faults/simulation.rs
@@ -417,7 +417,8 @@
             | MembershipAction::MembersChanged
             | MembershipAction::RoundTrip(..)
             | MembershipAction::Load(..)
-            | MembershipAction::Suspects(_) => {}
+            | MembershipAction::Suspects(_)
+            | MembershipAction::Limits(..) => {}
         }
     }
 
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -208,7 +208,8 @@
                     MembershipAction::SettingsDiffer(_)
                     | MembershipAction::RoundTrip(..)
                     | MembershipAction::Load(..)
-                    | MembershipAction::Suspects(_) => {}
+                    | MembershipAction::Suspects(_)
+                    | MembershipAction::Limits(..) => {}
                 }
             }
             if changed {
--- a/pistachiolane/src/config/route_table.rs
+++ b/pistachiolane/src/config/route_table.rs
@@ -3,6 +3,7 @@
 use {
     super::{KeyDigest, RequestPolicy, Workspace},
     crate::{
+        limits::shared::LimitRule,
         routing::AllowedRegions,
         schema::{CallerLimits, RouteSettings, RoutesDocument},
     },
@@ -46,6 +47,8 @@
     workspaces: HashMap<KeyDigest, Arc<Workspace>>,
     /// Whether requests need the key of a workspace, unless their route is exempt.
     pub keys_required: bool,
+    /// Limits of workspaces, which hold over all nodes.
+    pub shared_limits: Vec<LimitRule>,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
@@ -108,6 +111,7 @@
             warm_up_rates: document.warm_up_rates.iter().map(|(k, v)| (k.clone(), *v)).collect(),
             workspaces: index_workspaces(document),
             keys_required: document.keys_required,
+            shared_limits: shared_limits(document),
             limits,
         }
     }
@@ -152,6 +156,13 @@
     }
 }
 
+/// Returns the limits of the workspaces that have one.
+fn shared_limits(document: &RoutesDocument) -> Vec<LimitRule> {
+    let rule =
+        |workspace: Workspace| Some(LimitRule { limit: workspace.limit?, name: workspace.name });
+    document.workspaces.iter().map(Workspace::new).filter_map(rule).collect()
+}
+
 /// Maps the digest of each key to its workspace; a key of two workspaces identifies neither.
 fn index_workspaces(document: &RoutesDocument) -> HashMap<KeyDigest, Arc<Workspace>> {
     let mut workspaces: HashMap<KeyDigest, Option<Arc<Workspace>>> = HashMap::new();
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -1,5 +1,5 @@
 //! Limits: slots and queue of a gate, and the budgets for retries, probes, platform calls and
-//! inter-region bytes.
+//! inter-region bytes, and limits that hold over all nodes.
 
 mod adaptive_limit;
 mod admission_request;
@@ -10,6 +10,7 @@
 mod retry_after;
 mod retry_budget;
 mod service_times;
+pub mod shared;
 mod slots;
 mod slowness;
 mod stated_rate;
--- /dev/null
+++ b/pistachiolane/src/limits/shared/fleet_view.rs
@@ -0,0 +1,76 @@
+//! The members among which owners are chosen, and the part of the fleet that they are.
+
+use {
+    super::bounds::{MEMBER_MEMORY, PART_FACTOR},
+    crate::tick::Tick,
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+    },
+};
+
+value! {
+    /// Live member of the fleet.
+    pub struct LimitMember {
+        /// Identity of the node.
+        pub node: u64,
+        /// Control address, by which a restarted process is the same member.
+        pub address: SocketAddr,
+        /// Whether the member shuts down as planned; it is no owner then.
+        pub is_leaving: bool,
+        /// Whether the member is suspected to be dead.
+        pub is_suspect: bool,
+    }
+}
+
+/// Live members, and the addresses that were members lately.
+#[derive(Debug, Default)]
+pub struct FleetView {
+    members: HashMap<u64, LimitMember>,
+    recent: HashMap<SocketAddr, Tick>,
+}
+
+impl FleetView {
+    /// Replaces the members.
+    pub fn set(&mut self, now: Tick, members: impl IntoIterator<Item = LimitMember>) {
+        let previous = std::mem::take(&mut self.members);
+        for member in previous.into_values().filter(|m| !m.is_leaving) {
+            self.recent.insert(member.address, now);
+        }
+        self.members = members.into_iter().map(|m| (m.node, m)).collect();
+        let present: HashSet<SocketAddr> = self.members.values().map(|m| m.address).collect();
+        self.recent.retain(|a, at| !present.contains(a) && now.since(*at) < MEMBER_MEMORY);
+    }
+
+    /// Returns a member.
+    pub fn get(&self, node: u64) -> Option<&LimitMember> {
+        self.members.get(&node)
+    }
+
+    /// Returns the nodes that may own limits.
+    pub fn candidates(&self) -> impl Iterator<Item = u64> {
+        self.members.values().filter(|m| !m.is_leaving).map(|m| m.node)
+    }
+
+    /// Returns the number of live members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there are no members.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Returns the number of live members and of those that disappeared lately without leaving.
+    pub fn recent_len(&self, now: Tick) -> usize {
+        let lost = self.recent.values().filter(|at| now.since(**at) < MEMBER_MEMORY).count();
+        (self.members.len() + lost).max(1)
+    }
+
+    /// Returns the part of a limit's rate that the live members may use. Members that disappeared may be cut off
+    /// and use the other part.
+    pub fn part(&self, now: Tick) -> f64 {
+        (PART_FACTOR * self.members.len().max(1) as f64 / self.recent_len(now) as f64).min(1.0)
+    }
+}
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -21,8 +21,8 @@
     },
     crate::{
         schema::{
-            Acknowledgement, Health, LoadReport, MemberRecord, Packet, PacketBody, PingRequest,
-            SuspectUpdate,
+            Acknowledgement, Health, LimitBatch, LoadReport, MemberRecord, Packet, PacketBody,
+            PingRequest, SuspectUpdate,
         },
         tick::Tick,
     },
@@ -77,6 +77,8 @@
     Load(u64, LoadReport),
     /// A member sent what it knows of suspected requests.
     Suspects(Vec<SuspectUpdate>),
+    /// A member sent messages on limits that hold over all nodes.
+    Limits(u64, LimitBatch),
 }
 
 value! {
@@ -276,6 +278,17 @@
         actions
     }
 
+    /// Returns the packet that carries messages on limits to a member, with its address; `None` if
+    /// the member is not known.
+    pub fn limits_packet(&mut self, node: u64, batch: LimitBatch) -> Option<(SocketAddr, Packet)> {
+        let address = self.others.get(&node)?.record.control;
+        let sequence = self.next_sequence();
+        let body = PacketBody::Limits(batch);
+        // Without member updates, so that the packet's size depends on the batch alone.
+        let (from, settings, updates) = (self.local.node, self.settings_digest, Vec::new());
+        Some((address, Packet { from, sequence, settings, body, updates }))
+    }
+
     /// Sends an unsolicited load report to some members of the region.
     fn send_load_report<R: Rng>(
         &mut self,
@@ -642,6 +655,7 @@
             PacketBody::Ack(ack) => self.on_acknowledgement(now, sequence, &ack, from, actions),
             PacketBody::Load(report) => actions.push(MembershipAction::Load(packet.from, report)),
             PacketBody::Suspects(updates) => actions.push(MembershipAction::Suspects(updates)),
+            PacketBody::Limits(batch) => actions.push(MembershipAction::Limits(packet.from, batch)),
         }
     }
 
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -191,6 +191,11 @@
     settings_age_ms: Gauge,
     /// Requests per second that the local upstream states to accept; 0 while it states no limit.
     upstream_rate_limit: RateGauge,
+    /// Requests checked against the limit of a workspace, by result: granted, ahead of a report or refused; and tokens
+    /// returned by requests that were not run, and taken by further attempts.
+    limit_checks: Cases,
+    /// Limits that this node owns.
+    limits_owned: Gauge,
     /// Invariant violations since the process started.
     invariant_violations: Gauge,
 }
--- a/pistachiolane/src/node/admin/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -40,6 +40,7 @@
         "members": members_by_region,
         "services": services,
         "settings": versions,
+        "limits": snapshot.limits,
         "settings_age_ms": shared.settings_age.since_confirmed(shared.now()).as_millis() as u64,
         "invariant_violations": invariants::violations(),
     })
--- a/pistachiolane/src/node/control/control_loop.rs
+++ b/pistachiolane/src/node/control/control_loop.rs
@@ -9,7 +9,10 @@
     },
     crate::{
         config::{ActiveSubtrees, ApplyResult},
-        limits::WATCHERS_PER_REGION,
+        limits::{
+            WATCHERS_PER_REGION,
+            shared::{LimitMember, LimitStatus, Outgoing, SharedLimits},
+        },
         membership::{Members, MembershipAction, MembershipEvent},
         routing::RoutingTable,
         schema::{
@@ -36,6 +39,9 @@
 /// Interval between two steps of the membership protocol, each with a check of the routing table.
 const MEMBERSHIP_TIMER_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval between two steps of the limits that hold over all nodes, while there are any.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time after which another comparison of settings is started beside one that is still running, as with a peer that
 /// froze.
 const COMPARISON_PATIENCE: Duration = Duration::from_millis(700);
@@ -55,6 +61,8 @@
     pub subtrees: Vec<Subtree>,
     /// Number of member updates that are still to be disseminated.
     pub waiting_updates: usize,
+    /// Limits that hold over all nodes.
+    pub limits: Vec<LimitStatus>,
     /// Number of member records dropped because the fleet exceeds the maximum number of records.
     pub dropped_records: u64,
 }
@@ -90,6 +98,7 @@
     commands: mpsc::Receiver<Command>,
     members: Members,
     active_subtrees: ActiveSubtrees,
+    limits: SharedLimits,
     is_table_outdated: bool,
     /// Number of alive members of the region that precede the node in the order of store watchers.
     watch_rank: u64,
@@ -190,6 +199,7 @@
         let (tx, commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         let handle = ControlHandle { commands: tx };
         let seeds = shared.settings.seeds.clone();
+        let limits = SharedLimits::new(shared.now(), shared.node);
         let members = Members::new(shared.now(), shared.initial_record(), seeds);
         let control = Self {
             shared,
@@ -198,6 +208,7 @@
             commands,
             members,
             active_subtrees: ActiveSubtrees::default(),
+            limits,
             is_table_outdated: true,
             watch_rank: 0,
             is_isolated: false,
@@ -214,6 +225,8 @@
     pub async fn run(mut self) {
         let mut timer = interval(MEMBERSHIP_TIMER_INTERVAL);
         timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut limits_timer = interval(LIMITS_INTERVAL);
+        limits_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.members.set_settings_digest(self.active_subtrees.digest());
         let shared = Arc::clone(&self.shared);
         loop {
@@ -228,6 +241,8 @@
                     let joined = self.members.has_joined(self.shared.now());
                     self.shared.has_joined.store(joined, Ordering::Relaxed);
                 }
+                _tick = limits_timer.tick(), if !self.limits.is_empty() => self.step_limits(),
+                () = shared.limits_urgent.notified() => self.step_limits(),
                 () = shared.unsolicited_report.notified() => {
                     let report = self.shared.admission.gate.next_load_report(self.shared.now());
                     self.step(MembershipEvent::Load(report));
@@ -296,6 +311,10 @@
                 MembershipAction::Suspects(updates) => {
                     apply_suspects(&self.shared, &updates);
                 }
+                MembershipAction::Limits(from, batch) => {
+                    let outgoing = self.limits.receive(self.shared.now(), from, &batch);
+                    self.send_limits(outgoing);
+                }
                 MembershipAction::Load(node, report) => self.record_load_report(node, &report),
             }
         }
@@ -311,6 +330,33 @@
         self.socket.send(to, packet, same_region.unwrap_or(true));
     }
 
+    fn step_limits(&mut self) {
+        let outgoing = self.limits.step(self.shared.now());
+        self.send_limits(outgoing);
+    }
+
+    fn send_limits(&mut self, outgoing: Vec<Outgoing>) {
+        for out in outgoing {
+            if let Some((to, packet)) = self.members.limits_packet(out.to, out.batch) {
+                self.send(to, &packet);
+            }
+        }
+    }
+
+    /// Passes the members on to the limits, which choose their owners among them.
+    fn update_limit_members(&mut self) {
+        let member = |r: &MemberRecord| LimitMember {
+            node: r.node,
+            address: r.control,
+            is_leaving: r.health == Health::Draining,
+            is_suspect: r.health == Health::Suspect,
+        };
+        let now = self.shared.now();
+        self.limits.set_members(now, self.members.live_records().map(member));
+        let owned_count = i64::try_from(self.limits.owned_count()).unwrap_or(i64::MAX);
+        self.shared.metrics.limits_owned.set(owned_count);
+    }
+
     fn record_round_trip(&self, node: u64, time: Duration) {
         let table = self.shared.routing_table.load();
         for candidate in table.services().filter_map(|s| s.candidate(node)) {
@@ -346,6 +392,7 @@
         self.shared.store.set_budget_share(members, regions, is_watcher);
         self.shared.update_retry_reserves();
         self.watch_rank = rank;
+        self.update_limit_members();
     }
 
     /// Publishes the rank by which the node watches the store. A node that is cut off from its peers
@@ -481,6 +528,10 @@
     fn put_in_force(&mut self, has_newer: bool) {
         if has_newer {
             self.shared.apply_settings(self.active_subtrees.compile());
+            if let Some(routes) = self.shared.settings_tree.load().routes() {
+                self.limits.set_rules(self.shared.now(), routes.shared_limits.iter().cloned());
+                self.shared.limits.store(Arc::new(self.limits.table()));
+            }
             self.members.set_settings_digest(self.active_subtrees.digest());
         }
     }
@@ -491,6 +542,7 @@
             members: local.chain(self.members.records().cloned()).collect(),
             subtrees: self.active_subtrees.subtrees().cloned().collect(),
             waiting_updates: self.members.waiting_updates(),
+            limits: self.limits.status(self.shared.now()),
             dropped_records: self.members.dropped_records(),
         }
     }
--- a/pistachiolane/src/node/entry/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -4,7 +4,7 @@
     crate::node::{
         body::{Body, full, stream},
         control::control_client,
-        entry::hop::HopError,
+        entry::{hop::HopError, limit_check::LimitToken},
         gate::gate_server::GateServer,
         headers,
         shared::Shared,
@@ -165,6 +165,8 @@
     table: &'a ServiceTable,
     req: OutgoingRequest,
     request_id: &'a str,
+    /// Token of the limit of the caller's workspace, if it has one.
+    limit_token: Option<&'a LimitToken>,
     spec: CallSpec,
     caller: Arc<str>,
     call: Call,
@@ -188,6 +190,7 @@
         spec: CallSpec,
         req: OutgoingRequest,
         request_id: &str,
+        limit_token: Option<&LimitToken>,
     ) -> CallResult {
         let caller = self.shared.local_service();
         let mut active = ActiveCall {
@@ -195,6 +198,7 @@
             table,
             req,
             request_id,
+            limit_token,
             spec,
             caller,
             call: Call::new(spec),
@@ -463,6 +467,12 @@
     fn record_cause(&mut self, id: AttemptId, cause: AttemptCause) {
         let metrics = &self.driver.shared.metrics;
         metrics.attempts.inc();
+        if let Some(token) = self.limit_token {
+            match cause {
+                AttemptCause::First => token.spend(),
+                AttemptCause::Retry | AttemptCause::Hedge => token.spend_extra(),
+            }
+        }
         match cause {
             AttemptCause::First => {}
             AttemptCause::Retry => {
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -8,6 +8,7 @@
             attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
             caller_socket::CallerSocket,
             hop::probe_request,
+            limit_check::LimitToken,
             pipeline::{EarlyCall, Pipeline},
             resolved_route::ResolvedRoute,
         },
@@ -98,6 +99,8 @@
     BodyLate,
     #[error("calls are nested deeper than {MAX_CALL_DEPTH}")]
     TooDeep,
+    #[error("the workspace has reached its limit")]
+    LimitReached { retry_after: Duration },
     #[error("this node does not know the fleet or its settings yet")]
     NotReady,
 }
@@ -109,6 +112,7 @@
             Self::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
             Self::BodyLost => (StatusCode::BAD_REQUEST, "body-lost"),
             Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, "body-late"),
+            Self::LimitReached { .. } => (StatusCode::TOO_MANY_REQUESTS, "limit"),
             Self::TooDeep => (StatusCode::LOOP_DETECTED, "too-deep"),
             Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
         }
@@ -119,6 +123,9 @@
         let mut res = responses::rejected(status, reason, format!("not run: {self}"));
         match self {
             Self::NotReady => responses::set_retry_after(&mut res, NOT_READY_DELAY, fractional),
+            Self::LimitReached { retry_after } => {
+                responses::set_retry_after(&mut res, *retry_after, fractional);
+            }
             Self::BodyLate => responses::set_header(&mut res, &header::CONNECTION, "close"),
             _ => {}
         }
@@ -280,8 +287,10 @@
         {
             return Err(Rejection::TooDeep);
         }
+        let token = LimitToken::take(shared, &route, id)
+            .map_err(|retry_after| Rejection::LimitReached { retry_after })?;
         let caller_budget = headers::parse_number(&head.headers, &shared.dialect.budget_ms);
-        let (spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
+        let (mut spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
         let table = shared.routing_table.load().service(&route.service).map(Arc::clone);
         let now = shared.now();
         let suspicion = shared.quarantine.suspicion(now, outgoing.fingerprint);
@@ -304,9 +313,14 @@
             }),
             (Some(table), _) => {
                 self.eject_and_probe(&table);
-                self.driver.drive(&table, spec, outgoing, id).await
+                // A limit that is nearly used up is spent on requests, not on second attempts of slow ones.
+                spec.hedge &= token.as_ref().is_none_or(LimitToken::allows_hedge);
+                self.driver.drive(&table, spec, outgoing, id, token.as_ref()).await
             }
         };
+        if let (CallResult::NoResponse(Outcome::NotRun { .. }), Some(token)) = (&result, token) {
+            token.give_back();
+        }
         self.record_call(&result, id, &route, started, spec);
         let res = self.build_response(result);
         Ok(match caller_budget {
--- a/pistachiolane/src/node/entry/mod.rs
+++ b/pistachiolane/src/node/entry/mod.rs
@@ -4,5 +4,6 @@
 pub(in crate::node) mod caller_socket;
 pub(in crate::node) mod entry_server;
 pub(in crate::node) mod hop;
+pub(in crate::node) mod limit_check;
 pub(in crate::node) mod pipeline;
 pub(in crate::node) mod resolved_route;
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -12,7 +12,7 @@
     crate::{
         attempt::Admission,
         config::{SettingsAge, SettingsTree},
-        limits::TokenBucket,
+        limits::{TokenBucket, shared::LimitTable},
         metrics::Metrics,
         recovery::Quarantine,
         routing::RoutingTable,
@@ -113,6 +113,10 @@
     pub watch_rank: AtomicU64,
     /// Whether the node is ready only once routes are in force.
     pub needs_routes: bool,
+    /// Limits that hold over all nodes, as far as this entry may spend them.
+    pub limits: ArcSwap<LimitTable>,
+    /// Notified when the owner of a limit should be asked for tokens at once.
+    pub limits_urgent: Notify,
     /// Notified when the gate should send an unsolicited load report to the other nodes at once.
     pub unsolicited_report: Notify,
     /// Whether the node is shutting down.
@@ -161,6 +165,8 @@
             has_joined: AtomicBool::new(false),
             watch_rank: AtomicU64::new(0),
             needs_routes: dependencies.needs_routes,
+            limits: ArcSwap::default(),
+            limits_urgent: Notify::new(),
             unsolicited_report: Notify::new(),
             leaving: AtomicBool::new(false),
             stopping: CancellationToken::new(),
--- a/pistachiolane/src/schema/mod.rs
+++ b/pistachiolane/src/schema/mod.rs
@@ -12,9 +12,9 @@
 
 pub use {
     generated_messages::{
-        Acknowledgement, AttemptHeader, AttemptId, ExchangeReply, Health, MemberRecord,
-        PackedReply, PackedSubtree, Packet, PacketBody, PingRequest, Placement, SettleRequest,
-        Settlement, Subtree, SubtreeVersion, SuspectUpdate,
+        Acknowledgement, AttemptHeader, AttemptId, ExchangeReply, Health, LimitAnswer, LimitBatch,
+        LimitReport, LimitTransfer, MemberRecord, PackedReply, PackedSubtree, Packet, PacketBody,
+        PingRequest, Placement, SettleRequest, Settlement, Subtree, SubtreeVersion, SuspectUpdate,
     },
     generated_settings::{
         Announcement, CallerLimits, EvacuationsDocument, RegionSettings, RootDocument,
--- /dev/null
+++ b/pistachiolane/tests/shared_limits.rs
@@ -0,0 +1,255 @@
+//! Limits that hold over all nodes, in virtual time over many seeded histories: no window of 5 s exceeds the bound,
+//! and what is within the limit is admitted.
+//!
+//! `SHARED_LIMIT_SEEDS` sets the number of histories of each test.
+
+#[path = "common/limit_fleet.rs"]
+mod limit_fleet;
+
+use {
+    limit_fleet::Fleet, pistachiolane::config::WorkspaceLimit, rand::RngExt, std::time::Duration,
+    test_case::test_case,
+};
+
+const HOSTS: usize = 60;
+
+/// Rate and burst of the limits tested, from one of few requests to one of hundreds at each node.
+const LIMITS: [(f64, f64); 6] =
+    [(2.0, 4.0), (3.3, 1.0), (10.0, 10.0), (40.0, 20.0), (300.0, 300.0), (1_500.0, 400.0)];
+
+fn seeds(default: u64) -> u64 {
+    std::env::var("SHARED_LIMIT_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(default)
+}
+
+fn secs(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Runs a scenario with each seed, and the limit that the seed chooses; panics with all failures.
+fn for_seeds(default: u64, scenario: impl Fn(&mut Fleet, f64) -> Result<(), String>) {
+    let mut failures = Vec::new();
+    let count = seeds(default);
+    for seed in 1..=count {
+        let (rate, burst) = LIMITS[seed as usize % LIMITS.len()];
+        let mut fleet = Fleet::new(seed, HOSTS, rate, burst);
+        if let Err(e) = scenario(&mut fleet, rate).and_then(|()| check_bound(&fleet)) {
+            failures.push(format!("seed {seed}, {rate}/s, burst {burst}: {e}"));
+        }
+    }
+    let failed = failures.len();
+    assert!(failures.is_empty(), "{failed} of {count} failed:\n{}", failures.join("\n"));
+}
+
+fn check_bound(fleet: &Fleet) -> Result<(), String> {
+    let Some(limit) = fleet.limit else {
+        return Ok(());
+    };
+    let (worst, bound) = fleet.worst_window(0, limit);
+    if worst <= bound { Ok(()) } else { Err(format!("{worst} requests in 5 s, bound {bound}")) }
+}
+
+fn check_none_refused(fleet: &Fleet) -> Result<(), String> {
+    let total = fleet.total();
+    if total.refused == 0 { Ok(()) } else { Err(format!("{total:?}")) }
+}
+
+/// Requires 0.95 of what one token bucket would admit.
+fn check_admitted(fleet: &Fleet) -> Result<(), String> {
+    let total = fleet.total();
+    let is_enough = f64::from(total.sent) >= 0.95 * f64::from(total.ideal);
+    if is_enough { Ok(()) } else { Err(format!("{total:?}")) }
+}
+
+/// Distribution of the demand over the nodes.
+#[derive(Clone, Copy)]
+enum Spread {
+    Even,
+    One,
+    Few,
+}
+
+impl Spread {
+    /// Returns the rate at a host, for a rate over all.
+    fn at(self, host: usize, rate: f64) -> f64 {
+        match self {
+            Self::Even => rate / HOSTS as f64,
+            Self::One if host == 7 => rate,
+            Self::Few if host % 20 == 3 => rate / 3.0,
+            _ => 0.0,
+        }
+    }
+}
+
+/// A refusal below the limit is a loss for its caller: none at the usual load, from the first request on, with loss
+/// of packets and waves of up to 1.5 times the limit that the burst covers.
+#[test_case(Spread::Even)]
+#[test_case(Spread::One)]
+#[test_case(Spread::Few)]
+fn usual_load(spread: Spread) {
+    for_seeds(12, |fleet, rate| {
+        fleet.loss = 0.01;
+        let wave = fleet.limit.map_or(0.0, |l| l.burst) * 0.3 / rate;
+        fleet.run(secs(12.0), |host, at| {
+            let factor = if at > 6.0 && at < 6.0 + wave { 1.5 } else { 0.6 };
+            spread.at(host, rate * factor)
+        });
+        check_none_refused(fleet)
+    });
+}
+
+/// A restart of nodes one after the other refuses nothing at the usual load, although owners change.
+#[test]
+fn rolling_restart() {
+    for_seeds(12, |fleet, rate| {
+        let first = fleet.owner();
+        for n in 0..6 {
+            let host = if n % 2 == 0 { fleet.owner() } else { (first + n) % fleet.len() };
+            let load = |other: usize, _: f64| {
+                if other == host { 0.0 } else { Spread::Even.at(other, 0.6 * rate) }
+            };
+            fleet.leave(host);
+            fleet.run(secs(2.5), load);
+            fleet.restart(host);
+            fleet.run(secs(2.5), load);
+        }
+        check_none_refused(fleet)
+    });
+}
+
+/// Demand that jumps to a multiple of the usual is held to the limit, and gets what the limit allows.
+#[test_case(Spread::Even)]
+#[test_case(Spread::One)]
+#[test_case(Spread::Few)]
+fn demand_jumps(spread: Spread) {
+    for_seeds(12, |fleet, rate| {
+        let factor = fleet.rng.random_range(5.0..7.5);
+        fleet.loss = 0.01;
+        fleet.run(secs(3.0), |host, _| spread.at(host, 0.6 * rate));
+        fleet.run(secs(10.0), |host, _| spread.at(host, 0.6 * factor * rate));
+        fleet.run(secs(8.0), |host, _| spread.at(host, 0.6 * rate));
+        check_admitted(fleet)
+    });
+}
+
+/// All callers of a workspace move to another node each few seconds, below the limit and above it.
+#[test_case(0.9)]
+#[test_case(4.0)]
+fn demand_moves(factor: f64) {
+    for_seeds(12, |fleet, rate| {
+        for n in 0..6 {
+            let place = n * 11;
+            fleet.run(secs(2.5), |host, _| if host == place { factor * rate } else { 0.0 });
+        }
+        check_admitted(fleet)
+    });
+}
+
+/// Changes of the limit: the bound of the new one holds from one window after it, and what it allows is admitted.
+#[test_case(0.4; "lowered")]
+#[test_case(2.5; "raised")]
+#[test_case(0.13; "fractional")]
+fn limit_changes(factor: f64) {
+    for_seeds(12, |fleet, rate| {
+        let load = move |host, _| Spread::Even.at(host, 3.0 * rate);
+        fleet.run(secs(4.0), load);
+        let limit = fleet.limit.unwrap();
+        let new =
+            WorkspaceLimit { requests_per_second: factor * rate, burst: limit.burst * factor };
+        fleet.set_limit(Some(new));
+        fleet.run(secs(5.0), load);
+        fleet.counts.clear();
+        // Long, because a low limit opens once in some seconds.
+        fleet.run(secs(60.0), load);
+        check_bound(fleet)?;
+        check_admitted(fleet)
+    });
+}
+
+/// A removed limit refuses nothing, and one that is put in force again holds.
+#[test]
+fn limit_removed() {
+    for_seeds(12, |fleet, rate| {
+        let load = move |host, _| Spread::Even.at(host, 3.0 * rate);
+        fleet.run(secs(4.0), load);
+        let limit = fleet.limit.take();
+        fleet.set_limit(None);
+        fleet.counts.clear();
+        fleet.run(secs(3.0), load);
+        check_none_refused(fleet)?;
+        fleet.set_limit(limit);
+        fleet.run(secs(5.0), load);
+        fleet.counts.clear();
+        fleet.run(secs(10.0), load);
+        check_admitted(fleet)
+    });
+}
+
+fn set(fleet: &mut Fleet, hosts: &[usize], change: impl Fn(&mut Fleet, usize, bool), on: bool) {
+    for host in hosts {
+        change(fleet, *host, on);
+    }
+}
+
+fn restart(fleet: &mut Fleet, hosts: &[usize]) {
+    for host in hosts {
+        fleet.restart(*host);
+    }
+}
+
+/// Disturbances while the demand is above the limit: whatever is lost, the bound holds.
+#[test_case(0.6, 6.0; "during a jump")]
+#[test_case(3.0, 3.0; "in a flood")]
+#[test_case(0.9, 0.9; "near the limit")]
+fn disturbed(before: f64, during: f64) {
+    for_seeds(12, |fleet, rate| {
+        fleet.loss = [0.0, 0.02, 0.1][fleet.rng.random_range(0..3)];
+        fleet.regions = fleet.rng.random_range(1..4);
+        let spread = [Spread::Even, Spread::Even, Spread::One, Spread::Few];
+        let spread = spread[fleet.rng.random_range(0..4)];
+        fleet.run(secs(3.0), |host, _| spread.at(host, before * rate));
+        let load = |host, _: f64| spread.at(host, during * rate);
+        for _ in 0..3 {
+            let (owner, hosts) = (fleet.owner(), fleet.len());
+            let one =
+                if fleet.rng.random_bool(0.5) { owner } else { fleet.rng.random_range(0..hosts) };
+            let some: Vec<usize> = match fleet.rng.random_range(0..3) {
+                // One host, a region, or any part.
+                0 => vec![one],
+                1 => (0..hosts).filter(|n| n % fleet.regions == one % fleet.regions).collect(),
+                _ => (0..hosts).filter(|_| fleet.rng.random_bool(0.4)).collect(),
+            };
+            let time = secs(fleet.rng.random_range(0.2..6.0));
+            match fleet.rng.random_range(0..4) {
+                0 => {
+                    set(fleet, &some, Fleet::cut, true);
+                    fleet.run(time, load);
+                    set(fleet, &some, Fleet::cut, false);
+                }
+                1 => {
+                    set(fleet, &some, Fleet::freeze, true);
+                    fleet.run(time, load);
+                    set(fleet, &some, Fleet::freeze, false);
+                }
+                2 => restart(fleet, &some),
+                _ => restart(fleet, &(0..hosts).collect::<Vec<_>>()),
+            }
+            fleet.run(secs(4.0), load);
+        }
+        Ok(())
+    });
+}
+
+/// Counts messages and bytes of control for docs/CAPACITY.md: each limit alone, so the sum over limits is an upper
+/// bound, without what batches save. 60 nodes, 72 limits, 10 requests/s a node.
+#[test]
+fn cost_of_control() {
+    let (rate, hosts, limits) = (600.0 / 72.0, HOSTS as f64, 72.0);
+    let mut fleet = Fleet::new(1, HOSTS, rate / 0.6, rate);
+    (fleet.packets, fleet.bytes) = (0, 0);
+    fleet.run(secs(30.0), |host, _| Spread::Even.at(host, rate));
+    let (packets, bytes) = (fleet.packets as f64, fleet.bytes as f64);
+    let per_node = limits / hosts / 30.0;
+    println!("{:.1} packets/s, {:.0} bytes/s a node", packets * per_node, bytes * per_node);
+    // The budget of all control is 7 KB/s.
+    assert!(bytes * per_node < 7_000.0, "{bytes} bytes");
+}
