--- a/pistachiolane/src/config/route_table.rs
+++ b/pistachiolane/src/config/route_table.rs
@@ -3,6 +3,7 @@
 use {
     super::{KeyDigest, RequestPolicy, Workspace},
     crate::{
+        limits::shared::LimitRule,
         routing::AllowedRegions,
         schema::{CallerLimits, RouteSettings, RoutesDocument},
     },
@@ -48,6 +49,8 @@
     pub shared_keys: Vec<[Arc<str>; 2]>,
     /// Whether requests need the key of a workspace, unless their route is exempt.
     pub keys_required: bool,
+    /// Limits of workspaces, which hold over all nodes.
+    pub shared_limits: Vec<LimitRule>,
     /// Limits on callers.
     pub limits: CallerLimits,
 }
@@ -119,6 +122,7 @@
             workspaces,
             shared_keys,
             keys_required: document.keys_required,
+            shared_limits: shared_limits(document),
             limits,
         }
     }
@@ -168,6 +172,13 @@
     }
 }
 
+/// Returns the limits of the workspaces that have one.
+fn shared_limits(document: &RoutesDocument) -> Vec<LimitRule> {
+    let rule =
+        |workspace: Workspace| Some(LimitRule { limit: workspace.limit?, name: workspace.name });
+    document.workspaces.iter().map(Workspace::new).filter_map(rule).collect()
+}
+
 /// Returns the workspace of each key by its digest, and the workspaces that share a key, which identifies neither.
 ///
 /// A workspace whose name upstreams can't receive unchanged is skipped, because its requests would run under another
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -1,5 +1,5 @@
-//! Limits: slots and queue of a gate, the throttle of an entry, and the budgets for retries, probes, platform calls and
-//! inter-region bytes.
+//! Limits: slots and queue of a gate, the throttle of an entry, the budgets for retries, probes, platform calls and
+//! inter-region bytes, and limits that hold over all nodes.
 
 mod abandoned_run;
 mod adaptive_limit;
@@ -14,6 +14,7 @@
 mod retry_budget;
 mod served_shares;
 mod service_times;
+pub mod shared;
 mod slots;
 mod slowness;
 mod stated_rate;
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -247,6 +247,11 @@
     upstream_cold_rate: RateGauge,
     /// Statements and lost connections from which the local upstream was taken to be cold, by source.
     upstream_cold: Cases,
+    /// Requests checked against the limit of a workspace, by result: granted, ahead of a report or refused; and tokens
+    /// returned by requests that were not run, and taken by further attempts.
+    limit_checks: Cases,
+    /// Limits that this node owns.
+    limits_owned: Gauge,
     /// Invariant violations since the process started.
     invariant_violations: Gauge,
 }
--- a/pistachiolane/src/node/admin/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -47,6 +47,7 @@
             "running": shared.admission.gate.running(),
         },
         "keys": keys_status(shared),
+        "limits": snapshot.limits,
         "settings_age_ms": shared.settings_age.since_confirmed(shared.now()).as_millis() as u64,
         "invariant_violations": invariants::violations(),
     })
--- a/pistachiolane/src/node/control/control_loop.rs
+++ b/pistachiolane/src/node/control/control_loop.rs
@@ -9,7 +9,10 @@
     },
     crate::{
         config::{ActiveSubtrees, ApplyResult, SettingsTree},
-        limits::{WATCHERS_PER_REGION, ZoneEvacuation},
+        limits::{
+            WATCHERS_PER_REGION, ZoneEvacuation,
+            shared::{LimitMember, LimitStatus, Outgoing, SharedLimits},
+        },
         membership::{Members, MembershipAction, MembershipEvent},
         metrics::Metrics,
         routing::{EvacuatedZones, RoutingTable},
@@ -38,6 +41,9 @@
 /// Interval between two steps of the membership protocol, each with a check of the routing table.
 const MEMBERSHIP_TIMER_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval between two steps of the limits that hold over all nodes, while there are any.
+const LIMITS_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time after which another comparison of settings is started beside one that is still running, as with a peer that
 /// froze.
 const COMPARISON_PATIENCE: Duration = Duration::from_millis(700);
@@ -66,6 +72,8 @@
     pub subtrees: Vec<Subtree>,
     /// Number of member updates that are still to be disseminated.
     pub waiting_updates: usize,
+    /// Limits that hold over all nodes.
+    pub limits: Vec<LimitStatus>,
     /// Number of member records dropped because the fleet exceeds the maximum number of records.
     pub dropped_records: u64,
 }
@@ -101,6 +109,7 @@
     commands: mpsc::Receiver<Command>,
     members: Members,
     active_subtrees: ActiveSubtrees,
+    limits: SharedLimits,
     is_table_outdated: bool,
     /// Number of alive members of the region that precede the node in the order of store watchers.
     watch_rank: u64,
@@ -205,6 +214,7 @@
         let (tx, commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         let handle = ControlHandle { commands: tx };
         let seeds = shared.settings.seeds.clone();
+        let limits = SharedLimits::new(shared.now(), shared.node);
         let members = Members::new(shared.now(), shared.initial_record(), seeds);
         let control = Self {
             shared,
@@ -213,6 +223,7 @@
             commands,
             members,
             active_subtrees: ActiveSubtrees::default(),
+            limits,
             is_table_outdated: true,
             watch_rank: 0,
             is_isolated: false,
@@ -231,6 +242,8 @@
     pub async fn run(mut self) {
         let mut timer = interval(MEMBERSHIP_TIMER_INTERVAL);
         timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut limits_timer = interval(LIMITS_INTERVAL);
+        limits_timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.members.set_settings_digest(self.active_subtrees.digest());
         let shared = Arc::clone(&self.shared);
         loop {
@@ -246,6 +259,8 @@
                     let joined = self.members.has_joined(self.shared.now());
                     self.shared.has_joined.store(joined, Ordering::Relaxed);
                 }
+                _tick = limits_timer.tick(), if !self.limits.is_empty() => self.step_limits(),
+                () = shared.limits_urgent.notified() => self.step_limits(),
                 () = shared.unsolicited_report.notified() => {
                     let report = self.shared.admission.gate.next_load_report(self.shared.now());
                     self.record_load_report(self.shared.node, &report);
@@ -315,6 +330,10 @@
                 MembershipAction::Suspects(updates) => {
                     apply_suspects(&self.shared, &updates);
                 }
+                MembershipAction::Limits(from, batch) => {
+                    let outgoing = self.limits.receive(self.shared.now(), from, &batch);
+                    self.send_limits(outgoing);
+                }
                 MembershipAction::Load(node, report) => self.record_load_report(node, &report),
             }
         }
@@ -330,6 +349,33 @@
         self.socket.send(to, packet, same_region.unwrap_or(true));
     }
 
+    fn step_limits(&mut self) {
+        let outgoing = self.limits.step(self.shared.now());
+        self.send_limits(outgoing);
+    }
+
+    fn send_limits(&mut self, outgoing: Vec<Outgoing>) {
+        for out in outgoing {
+            if let Some((to, packet)) = self.members.limits_packet(out.to, out.batch) {
+                self.send(to, &packet);
+            }
+        }
+    }
+
+    /// Passes the members on to the limits, which choose their owners among them.
+    fn update_limit_members(&mut self) {
+        let member = |r: &MemberRecord| LimitMember {
+            node: r.node,
+            address: r.control,
+            is_leaving: r.health == Health::Draining,
+            is_suspect: r.health == Health::Suspect,
+        };
+        let now = self.shared.now();
+        self.limits.set_members(now, self.members.live_records().map(member));
+        let owned_count = i64::try_from(self.limits.owned_count()).unwrap_or(i64::MAX);
+        self.shared.metrics.limits_owned.set(owned_count);
+    }
+
     fn record_round_trip(&self, node: u64, time: Duration) {
         let table = self.shared.routing_table.load();
         for candidate in table.services().filter_map(|s| s.candidate(node)) {
@@ -365,6 +411,7 @@
         self.shared.store.set_budget_share(members, regions, is_watcher);
         self.shared.update_retry_reserves();
         self.watch_rank = rank;
+        self.update_limit_members();
     }
 
     /// Publishes the rank by which the node watches the store. A node that is cut off from its peers
@@ -536,6 +583,10 @@
                 warn_of_shared_keys(&tree);
             }
             self.shared.apply_settings(tree);
+            if let Some(routes) = self.shared.settings_tree.load().routes() {
+                self.limits.set_rules(self.shared.now(), routes.shared_limits.iter().cloned());
+                self.shared.limits.store(Arc::new(self.limits.table()));
+            }
             self.record_evacuations(&previous, source);
             self.members.set_settings_digest(self.active_subtrees.digest());
         }
@@ -566,6 +617,7 @@
             members: local.chain(self.members.records().cloned()).collect(),
             subtrees: self.active_subtrees.subtrees().cloned().collect(),
             waiting_updates: self.members.waiting_updates(),
+            limits: self.limits.status(self.shared.now()),
             dropped_records: self.members.dropped_records(),
         }
     }
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -9,6 +9,7 @@
             authentication::KeyFault,
             caller_socket::CallerSocket,
             hop::probe_request,
+            limit_check::LimitToken,
             pipeline::{EarlyCall, Pipeline},
             resolved_route::{ResolvedRoute, RouteFault},
         },
@@ -103,6 +104,8 @@
     BodyLate,
     #[error("calls are nested deeper than {MAX_CALL_DEPTH}")]
     TooDeep,
+    #[error("the workspace has reached its limit")]
+    LimitReached { retry_after: Duration },
     #[error("this node does not know the fleet or its settings yet")]
     NotReady,
     #[error("{0}")]
@@ -116,6 +119,7 @@
             Self::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
             Self::BodyLost => (StatusCode::BAD_REQUEST, "body-lost"),
             Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, "body-late"),
+            Self::LimitReached { .. } => (StatusCode::TOO_MANY_REQUESTS, "limit"),
             Self::TooDeep => (StatusCode::LOOP_DETECTED, "too-deep"),
             Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
             Self::Unauthorized(_) => (StatusCode::UNAUTHORIZED, "unauthorized"),
@@ -127,6 +131,9 @@
         let mut res = responses::rejected(status, reason, format!("not run: {self}"));
         match self {
             Self::NotReady => responses::set_retry_after(&mut res, NOT_READY_DELAY, fractional),
+            Self::LimitReached { retry_after } => {
+                responses::set_retry_after(&mut res, *retry_after, fractional);
+            }
             Self::BodyLate => responses::set_header(&mut res, &header::CONNECTION, "close"),
             Self::Unauthorized(_) => {
                 responses::set_header(&mut res, &header::WWW_AUTHENTICATE, "Bearer");
@@ -277,23 +284,45 @@
         }
     }
 
-    async fn route_call(
+    /// Resolves the route of a call and takes a token of its workspace's limit.
+    fn admit_call(
         &self,
-        head: Parts,
-        body: Option<Incoming>,
+        head: &Parts,
         id: &str,
-        started: Tick,
-    ) -> Result<Response<Body>, Rejection> {
+    ) -> Result<(ResolvedRoute, Option<LimitToken>), Rejection> {
         let shared = &self.driver.shared;
-        let route = ResolvedRoute::for_request(shared, &head)
-            .map_err(|fault| self.route_rejection(fault, &head))?;
+        let route = ResolvedRoute::for_request(shared, head)
+            .map_err(|fault| self.route_rejection(fault, head))?;
         if headers::parse_number(&head.headers, &headers::DEPTH)
             .is_some_and(|depth| depth >= MAX_CALL_DEPTH)
         {
             return Err(Rejection::TooDeep);
         }
+        let token = LimitToken::take(shared, &route, id)
+            .map_err(|retry_after| Rejection::LimitReached { retry_after })?;
+        Ok((route, token))
+    }
+
+    async fn route_call(
+        &self,
+        head: Parts,
+        mut body: Option<Incoming>,
+        id: &str,
+        started: Tick,
+    ) -> Result<Response<Body>, Rejection> {
+        let shared = &self.driver.shared;
+        let (route, token) = match self.admit_call(&head, id) {
+            Ok(admitted) => admitted,
+            Err(rejection) => {
+                // Closing a connection with unread bytes resets it, and the caller may lose the response.
+                if let Some(body) = &mut body {
+                    discard(body).await;
+                }
+                return Err(rejection);
+            }
+        };
         let caller_budget = headers::parse_number(&head.headers, &shared.dialect.budget_ms);
-        let (spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
+        let (mut spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
         let table = shared.routing_table.load().service(&route.service).map(Arc::clone);
         let now = shared.now();
         let suspicion = shared.quarantine.suspicion(now, outgoing.fingerprint);
@@ -316,9 +345,14 @@
             }),
             (Some(table), _) => {
                 self.eject_and_probe(&table, &route.regions);
-                self.driver.drive(&table, spec, outgoing, id).await
+                // A limit that is nearly used up is spent on requests, not on second attempts of slow ones.
+                spec.hedge &= token.as_ref().is_none_or(LimitToken::allows_hedge);
+                self.driver.drive(&table, spec, outgoing, id, token.as_ref()).await
             }
         };
+        if let (CallResult::NoResponse(Outcome::NotRun { .. }), Some(token)) = (&result, token) {
+            token.give_back();
+        }
         self.record_region_refusal(&result, id, &route);
         self.record_call(&result, id, &route, started, spec);
         let res = self.build_response(result);
