A call whose gates were all draining ends as no-upstream, not as service-full

Cause: any attempt with permission to queue made the outcome service-full, also when each gate refused it as draining. Change: only a refusal as busy, full or shed does. The test of regions waits until the throttle has forgotten the shed requests: it rejected the calls that were to be hedged.

--- a/lab/tests/platform_regions.rs
+++ b/lab/tests/platform_regions.rs
@@ -6,7 +6,7 @@
     common::{TestHost, add_column, configuration, start_host_in_region, status_code},
     lab::stand_in::{Capacity, PlatformStandIn},
     serde_json::json,
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
     test_case::test_case,
     tokio::task::JoinSet,
 };
@@ -14,6 +14,9 @@
 /// Regions of the hosts; only the first may run requests.
 const REGIONS: [&str; 3] = ["svealand", "svealand", "almaty"];
 
+/// Time after which the entry no longer counts refusals, with a margin.
+const THROTTLE_WINDOW: Duration = Duration::from_millis(1_200);
+
 async fn start_fleet() -> Vec<Arc<TestHost>> {
     let store = PlatformStandIn::new();
     let mut configuration = configuration("r7", "shop.example");
@@ -62,6 +65,8 @@
     }
     // A reset makes a retry due, a slow upstream a hedge; a shed request is tried elsewhere.
     for path in ["/sizing/reset", "/sizing/shed", "/sizing/slow"] {
+        // The entry rejects calls for a second after upstreams have shed most of them.
+        tokio::time::sleep(THROTTLE_WINDOW).await;
         let codes = send_many(&hosts[entry], "GET", path).await;
         assert!(codes.iter().all(|code| *code >= 500), "{path}: {codes:?}");
     }
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -567,7 +567,7 @@
             })
             .or_else(|| pick(cx.table, PickRequest { allow_remote: false, ..req }, rng));
         let Some(picked) = picked else {
-            let is_full = self.queueable_attempts > 0 || self.was_refused_by_overload;
+            let is_full = self.was_refused_by_overload || !self.busy_nodes.is_empty();
             let reason = if is_full {
                 NotRunReason::ServiceFull
             } else {
