Reports of warming expire with the warming

Cause: an entry kept the state Warming of an upstream's last report without limit.

Change: Candidate::is_warming counts a report of Warming only for WARMING_DURATION (3 s), the time for which a gate reports it. The estimate, the ejection of stragglers and the count in status use it.

Result: report_of_warming_expires picks the upstream again from 3.0 s on, and not at 2.9 s.

--- a/pistachiolane/src/limits/gate.rs
+++ b/pistachiolane/src/limits/gate.rs
@@ -23,7 +23,7 @@
 const QUEUE_OVERFLOW_FACTOR: u32 = 2;
 
 /// Time during which an upstream is reported as warming after it started or recovered.
-const WARMING_DURATION: Duration = Duration::from_secs(3);
+pub const WARMING_DURATION: Duration = Duration::from_secs(3);
 
 /// Share of the slots, in percent, up to which attempts that will miss their target latency are admitted.
 const LATE_SLOTS_PERCENT: u32 = 70;
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -24,7 +24,7 @@
     admission_request::AdmissionRequest,
     average::Average,
     cold_state::{ColdChange, ColdSource, ColdState},
-    gate::{AdmissionDecision, Gate, RefusalReason},
+    gate::{AdmissionDecision, Gate, RefusalReason, WARMING_DURATION},
     platform_share::{
         MILLICALLS_PER_CALL, WATCHERS_PER_REGION, platform_budget_millicalls,
         platform_share_millicalls,
--- a/pistachiolane/src/node/admin/status.rs
+++ b/pistachiolane/src/node/admin/status.rs
@@ -123,7 +123,7 @@
     let now = shared.now();
     let usable = service.candidates.iter().filter(|c| c.is_usable(now)).count();
     let ejected = service.candidates.iter().filter(|c| c.is_ejected(now)).count();
-    let is_warming = |c: &&Arc<Candidate>| c.state() == GateState::Warming;
+    let is_warming = |c: &&Arc<Candidate>| c.is_warming(now);
     let warming = service.candidates.iter().filter(is_warming).count();
     let declared = shared.settings_tree.load().service(&service.name).is_some();
     json!({
--- a/pistachiolane/src/routing/candidate.rs
+++ b/pistachiolane/src/routing/candidate.rs
@@ -3,6 +3,7 @@
 use {
     super::Distance,
     crate::{
+        limits::WARMING_DURATION,
         schema::{GateState, Health, LoadReport, MemberRecord},
         tick::{Tick, micros},
     },
@@ -185,6 +186,14 @@
         unpack(self.load.load(Ordering::Acquire)).state
     }
 
+    /// Whether the last report says that the upstream is warming and is recent enough for that to hold still.
+    ///
+    /// An upstream without traffic sends no newer report, so its state must expire here.
+    pub fn is_warming(&self, now: Tick) -> bool {
+        self.state() == GateState::Warming
+            && self.report_age(now).is_some_and(|age| age < WARMING_DURATION)
+    }
+
     /// Returns the last report.
     pub fn last_report(&self) -> LoadReport {
         let load = unpack(self.load.load(Ordering::Acquire));
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -2,10 +2,7 @@
 
 use {
     super::Candidate,
-    crate::{
-        schema::GateState,
-        tick::{Tick, micros},
-    },
+    crate::tick::{Tick, micros},
     std::time::Duration,
 };
 
@@ -141,8 +138,7 @@
 
 /// Returns the occupancy, in slots, that is added for an upstream that is warming or in slow start.
 fn slow_start_occupancy(now: Tick, candidate: &Candidate, slots: f64) -> f64 {
-    let needs_slow_start =
-        candidate.state() == GateState::Warming || candidate.is_in_slow_start(now);
+    let needs_slow_start = candidate.is_warming(now) || candidate.is_in_slow_start(now);
     if needs_slow_start { slots * SLOW_START_OCCUPANCY } else { 0.0 }
 }
 
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -4,7 +4,6 @@
     super::{Candidate, Distance, EvacuatedZones},
     crate::{
         limits::{Average, Quantile, RetryBudget},
-        schema::GateState,
         tick::Tick,
     },
     std::{sync::Arc, time::Duration},
@@ -119,8 +118,7 @@
         for candidate in &self.candidates {
             let is_straggler = candidate.last_report().latency_us > threshold_us;
             // An upstream that is warming or in slow start is expected to be slow for a while.
-            let needs_slow_start =
-                candidate.is_in_slow_start(now) || candidate.state() == GateState::Warming;
+            let needs_slow_start = candidate.is_in_slow_start(now) || candidate.is_warming(now);
             if !is_straggler
                 || needs_slow_start
                 || ejected_count >= max_ejected
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -215,6 +215,20 @@
     assert_eq!(table.eject_stragglers(NOW).len(), expected);
 }
 
+/// Guards against an upstream that is picked no more: after a restart it gets no requests while others are idle, and so
+/// sends no report that ends its warming.
+#[test_case(0, &[2]; "recent report")]
+#[test_case(2_900, &[2]; "just before warming ends")]
+#[test_case(3_000, &[1, 2]; "warming is over")]
+fn report_of_warming_expires(age_ms: u64, expected: &[u64]) {
+    let table = table(&[Distance::Zone; 2]);
+    let at = Tick(NOW.0 - age_ms * 1_000);
+    let warming = LoadReport { state: GateState::Warming, ..report(1, 0, 10_000) };
+    table.candidates[0].record_report(at, &warming);
+    table.candidates[1].record_report(at, &report(1, 0, 10_000));
+    assert_eq!(picks(&table, &[], true), expected);
+}
+
 /// Pattern: a service of a large fleet has many upstreams in each of several zones, most of them busy. An
 /// idle one in the entry's own zone is found, and only a few candidates of other zones are weighed.
 #[test]
