Drop a needless clone in a test of admissions

Cause: AdmissionRequest is Copy, so clippy with -D warnings failed on tests/limits.rs. Change: the array takes the value itself; the test is otherwise the same.

--- a/pistachiolane/tests/limits.rs
+++ b/pistachiolane/tests/limits.rs
@@ -356,7 +356,7 @@
     let mut queue = WaitQueue::default();
     let submission = AdmissionRequest { priority: 1, ..admission_request(2_500, 800, 210) };
     let lookup = AdmissionRequest { priority: 1, ..admission_request(400, 140, 40) };
-    for (item, req) in [(1, submission.clone()), (2, submission), (3, lookup)] {
+    for (item, req) in [(1, submission), (2, submission), (3, lookup)] {
         assert_eq!(gate.admit(&req), AdmissionDecision::Queue);
         queue.push(queue_key_of(&gate, &req), Tick(2_500_000), item);
         assert_eq!(queue.next(Tick(5), &gate, |_| false), None);
