Zone balance: a share of requests leaves a zone that is short of upstreams

Cause: each pick compares all candidates with a constant transfer cost per kilobyte. A full zone keeps its requests until they queue, and the entries of several zones see the same idle zone at once.

Change: routing/zone_shares.rs computes, at most every 50 ms per service and set of allowed regions, which share of the requests leaves for other zones of the region and for other regions, from the load reports of all candidates. Room elsewhere is divided among short zones by shortage; a random number per request decides. Without values the latency decides; with values, the price of bytes counts. Attempts that leave are counted by route, reason and result, with their bytes, also while it is off; the line "attempt sent" shows the compared figures.

With the balance off the picks are those of: picks_without_balance_are_as_before holds the sequences that were recorded there. Existing tests only gained the field `balance: None`.

--- a/lab/src/policy/model.rs
+++ b/lab/src/policy/model.rs
@@ -402,7 +402,7 @@
 
     fn call_action(&mut self, host: usize, call: u64, action: CallAction) {
         match action {
-            CallAction::Send { id, candidate, may_queue, cause } => {
+            CallAction::Send { id, candidate, may_queue, cause, .. } => {
                 let measured = self.is_measured(self.now);
                 self.measured.attempts += u64::from(measured);
                 self.measured.hedges += u64::from(measured && cause == AttemptCause::Hedge);
--- a/lab/src/slopes.rs
+++ b/lab/src/slopes.rs
@@ -320,6 +320,7 @@
         table: &table,
         regions: &AllowedRegions::All,
         evacuated: EvacuatedZones::none(),
+        balance: None,
         inter_region_budget: &inter_region_budget,
         sequence: &sequence,
     };
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -6,7 +6,8 @@
         limits::{RefusalReason, TokenBucket, retry_after},
         recovery::QUARANTINE,
         routing::{
-            AllowedRegions, Candidate, Distance, EvacuatedZones, PickRequest, ServiceTable, pick,
+            AllowedRegions, BalancePolicy, BalanceTerms, Candidate, Departure, Distance,
+            EvacuatedZones, PickRequest, ServiceTable, pick,
         },
         schema::{AttemptId, LoadReport, Settlement, WorkKind},
         tick::Tick,
@@ -58,6 +59,8 @@
     pub regions: &'a AllowedRegions,
     /// Zones whose upstreams get no attempts.
     pub evacuated: &'a EvacuatedZones,
+    /// Prices and values by which requests leave the entry's zone; `None` if the zone balance is off.
+    pub balance: Option<BalancePolicy>,
     /// Byte budget for traffic to other regions.
     pub inter_region_budget: &'a TokenBucket,
     /// Last attempt sequence number used by the entry.
@@ -375,6 +378,7 @@
             regions: cx.regions,
             evacuated: cx.evacuated,
             allow_remote: false,
+            balance: None,
         };
         pick(cx.table, req, rng).is_some()
     }
@@ -435,6 +439,7 @@
             regions: cx.regions,
             evacuated: cx.evacuated,
             allow_remote: false,
+            balance: None,
         };
         let pick = pick(cx.table, req, rng)?;
         let retries = &cx.table.state.retries;
@@ -446,7 +451,8 @@
         {
             return None;
         }
-        Some(self.send_attempt(now, cx, pick.candidate, false, AttemptCause::Hedge))
+        let cause = AttemptCause::Hedge;
+        Some(self.send_attempt(now, cx, pick.candidate, false, cause, pick.departure))
     }
 
     fn next_attempt<R: Rng>(
@@ -470,6 +476,7 @@
             regions: cx.regions,
             evacuated: cx.evacuated,
             allow_remote: true,
+            balance: self.balance_terms(now, cx),
         };
         let picked = pick(cx.table, req, rng)
             .filter(|p| {
@@ -496,7 +503,15 @@
             return self.finish(now, outcome);
         }
         let cause = if self.may_have_run { AttemptCause::Retry } else { AttemptCause::First };
-        vec![self.send_attempt(now, cx, picked.candidate, may_queue, cause)]
+        vec![self.send_attempt(now, cx, picked.candidate, may_queue, cause, picked.departure)]
+    }
+
+    /// Returns the terms of the zone balance for the first attempt. After a refusal or a failure any upstream may be
+    /// the best, which the expected completion time tells.
+    fn balance_terms(&self, now: Tick, cx: CallContext<'_>) -> Option<BalanceTerms> {
+        let is_first = self.busy_nodes.is_empty() && self.excluded_nodes.is_empty();
+        let policy = cx.balance.filter(|_| is_first)?;
+        Some(BalanceTerms { policy, target: self.spec.target.since(now) })
     }
 
     fn send_attempt(
@@ -506,6 +521,7 @@
         candidate: Arc<Candidate>,
         may_queue: bool,
         cause: AttemptCause,
+        departure: Option<Departure>,
     ) -> CallAction {
         let idempotent = self.spec.kind == WorkKind::Idempotent;
         invariant!(idempotent || self.in_flight.is_empty(), "one_attempt_of_non_idempotent_work");
@@ -520,7 +536,7 @@
             may_queue,
             settle_at: None,
         });
-        CallAction::Send { id, candidate, may_queue, cause }
+        CallAction::Send { id, candidate, may_queue, cause, departure }
     }
 
     fn remove_in_flight(
--- a/pistachiolane/src/attempt/call_action.rs
+++ b/pistachiolane/src/attempt/call_action.rs
@@ -2,7 +2,11 @@
 
 use {
     super::Outcome,
-    crate::{routing::Candidate, schema::AttemptId, tick::Tick},
+    crate::{
+        routing::{Candidate, Departure},
+        schema::AttemptId,
+        tick::Tick,
+    },
     std::sync::Arc,
 };
 
@@ -42,6 +46,8 @@
         may_queue: bool,
         /// Reason for sending it.
         cause: AttemptCause,
+        /// Why the attempt leaves the entry's zone, if it does.
+        departure: Option<Departure>,
     },
     /// Retire the connection of the attempt and request its settlement from the gate.
     Settle {
--- a/pistachiolane/src/cli/args.rs
+++ b/pistachiolane/src/cli/args.rs
@@ -186,6 +186,33 @@
         help = "share of the upstream's slots that may be used at once (100)"
     )]
     pub usable_slots: Option<String>,
+    /// Whether shares of requests leave a zone that is short of upstreams.
+    #[options(
+        no_short,
+        meta = "BOOL",
+        help = "whether to send a share of requests to other zones while their own is full (false)"
+    )]
+    pub zone_balance: Option<String>,
+    /// Price of a gigabyte between zones.
+    #[options(no_short, meta = "PRICE", help = "price of a GB between zones of a region (0)")]
+    pub zone_price: Option<String>,
+    /// Price of a gigabyte between regions.
+    #[options(no_short, meta = "PRICE", help = "price of a GB between regions (0)")]
+    pub region_price: Option<String>,
+    /// Value of an answer in time.
+    #[options(
+        no_short,
+        meta = "VALUE",
+        help = "value of an answer within its target latency, in the currency of the prices (0)"
+    )]
+    pub answer_value: Option<String>,
+    /// Value of a late answer.
+    #[options(
+        no_short,
+        meta = "VALUE",
+        help = "value of an answer after its target latency, in the currency of the prices (0)"
+    )]
+    pub late_answer_value: Option<String>,
     /// Time within which the evacuation of a zone must hold.
     #[options(
         no_short,
@@ -225,6 +252,11 @@
             "retry-percent" => &self.retry_percent,
             "retry-reserve" => &self.retry_reserve,
             "usable-slots" => &self.usable_slots,
+            "zone-balance" => &self.zone_balance,
+            "zone-price" => &self.zone_price,
+            "region-price" => &self.region_price,
+            "answer-value" => &self.answer_value,
+            "late-answer-value" => &self.late_answer_value,
             "evacuation-timeout" => &self.evacuation_timeout,
             "log-level" => &self.log_level,
             "stop-timeout" => &self.stop_timeout,
--- a/pistachiolane/src/engine/engine.rs
+++ b/pistachiolane/src/engine/engine.rs
@@ -184,6 +184,7 @@
             table: &open.table,
             regions: &AllowedRegions::All,
             evacuated: EvacuatedZones::none(),
+            balance: None,
             inter_region_budget: &self.inter_region_budget,
             sequence: &self.sequence,
         };
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -38,6 +38,23 @@
     outcome: &'static str,
 }
 
+/// Labels of requests that left the entry's zone or region.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct DepartureLabels {
+    route: String,
+    left: &'static str,
+    reason: &'static str,
+}
+
+/// Labels of the results of requests that left the entry's zone or region.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct DepartureEndLabels {
+    route: String,
+    left: &'static str,
+    reason: &'static str,
+    end: &'static str,
+}
+
 /// Maximum number of routes and upstreams, and of workspaces, with their own series; further ones share the series [`OTHER`].
 const MAX_SERIES_NAMES: usize = 512;
 
@@ -132,6 +149,42 @@
     }
 }
 
+/// Counters of attempts that left the entry's zone or region, with a bounded number of series.
+#[derive(Debug, Default)]
+pub struct DepartureMetrics {
+    ends: Family<DepartureEndLabels, Counter>,
+    bytes: Family<DepartureLabels, Counter>,
+    /// Routes that have their own series.
+    names: HashSet<String>,
+}
+
+impl DepartureMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        let help = "Attempts outside the entry's zone that ended, by route, what they left, reason and result";
+        registry.register("left_zone", help, metrics.ends.clone());
+        let help =
+            "Bytes of these attempts' bodies in both directions, as far as their length was known";
+        registry.register("left_zone_bytes", help, metrics.bytes.clone());
+        metrics
+    }
+
+    /// Counts an attempt that ended: what it left (zone or region), why, its result and its bytes.
+    pub fn record(
+        &self,
+        route: &str,
+        left: &'static str,
+        reason: &'static str,
+        end: &'static str,
+        bytes: u64,
+    ) {
+        let route = bounded_name(&self.names, route);
+        let labels = DepartureLabels { route: route.clone(), left, reason };
+        self.bytes.get_or_create(&labels).inc_by(bytes);
+        self.ends.get_or_create(&DepartureEndLabels { route, left, reason, end }).inc();
+    }
+}
+
 /// Returns a label value: the name, or [`OTHER`] if `names` has [`MAX_SERIES_NAMES`] others.
 fn bounded_name(names: &HashSet<String>, name: &str) -> String {
     let names = names.pin();
@@ -157,6 +210,8 @@
             pub latencies: LatencyMetrics,
             /// Calls by workspace.
             pub workspaces: WorkspaceMetrics,
+            /// Attempts outside the entry's zone.
+            pub departures: DepartureMetrics,
             $($(#[doc = $doc])+ pub $name: $kind,)*
         }
 
@@ -171,7 +226,8 @@
                 )*
                 let latencies = LatencyMetrics::register(&mut registry);
                 let workspaces = WorkspaceMetrics::register(&mut registry);
-                Self { registry, latencies, workspaces, $($name,)* }
+                let departures = DepartureMetrics::register(&mut registry);
+                Self { registry, latencies, workspaces, departures, $($name,)* }
             }
         }
     };
--- a/pistachiolane/src/node/entry/attempt_driver.rs
+++ b/pistachiolane/src/node/entry/attempt_driver.rs
@@ -14,7 +14,7 @@
         limits::RefusalReason,
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
-        routing::{AllowedRegions, Candidate, EvacuatedZones, ServiceTable},
+        routing::{AllowedRegions, Candidate, Departure, EvacuatedZones, ServiceTable},
         schema::{AttemptHeader, AttemptId, LoadReport, SettleRequest, Settlement, WorkKind},
         tick::Tick,
     },
@@ -51,6 +51,8 @@
     pub body: OutgoingBody,
     /// Fingerprint of what the request asks for.
     pub fingerprint: Fingerprint,
+    /// Name of the route, for metrics.
+    pub route: Arc<str>,
     /// Regions whose upstreams may run the request.
     pub regions: AllowedRegions,
     /// Workspace of the caller; empty if there is none.
@@ -148,6 +150,16 @@
     /// Number of the hop connection that carries the attempt; 0 before one does and for the local
     /// gate.
     connection: Arc<AtomicU64>,
+    /// Why the attempt left the entry's zone, if it did.
+    departure: Option<SentDeparture>,
+}
+
+/// Attempt that left the entry's zone, for the metrics.
+#[derive(Clone, Copy, Debug)]
+struct SentDeparture {
+    departure: Departure,
+    /// Lower bound on the bytes of the request's body.
+    request_bytes: u64,
 }
 
 /// State that all calls of an entry share.
@@ -245,17 +257,25 @@
             table: self.table,
             regions: &self.req.regions,
             evacuated: tree.evacuations().unwrap_or(EvacuatedZones::none()),
+            balance: shared.tunables.load().zone_balance,
             inter_region_budget: &shared.inter_region_bytes,
             sequence: &shared.attempt_sequence,
         };
         let actions = self.call.step(shared.now(), cx, &mut rand::rng(), event);
         for action in actions {
             match action {
-                CallAction::Send { id, candidate, may_queue, cause } => {
+                CallAction::Send { id, candidate, may_queue, cause, departure } => {
                     self.record_cause(id, cause);
-                    self.log_send(id, &candidate, may_queue, cause);
+                    self.log_send(id, &candidate, may_queue, cause, departure);
+                    let departure = departure.map(|departure| SentDeparture {
+                        departure,
+                        request_bytes: self.req.body.min_size(),
+                    });
                     let req = self.build_request(&candidate, cause);
                     self.send(id, candidate, may_queue, req);
+                    if let Some(sent) = self.sent.last_mut() {
+                        sent.departure = departure;
+                    }
                 }
                 CallAction::Settle { id, candidate } => self.settle(id, candidate),
                 CallAction::Cancel(id) => self.cancel(id),
@@ -265,7 +285,14 @@
         }
     }
 
-    fn log_send(&self, id: AttemptId, to: &Candidate, may_queue: bool, cause: AttemptCause) {
+    fn log_send(
+        &self,
+        id: AttemptId,
+        to: &Candidate,
+        may_queue: bool,
+        cause: AttemptCause,
+        departure: Option<Departure>,
+    ) {
         let now = self.driver.shared.now();
         let report = to.last_report();
         // -1 if there is no report.
@@ -274,7 +301,8 @@
             target: "entry", request = self.request_id, attempt = id.name().as_str(),
             service = &*self.table.name, upstream = to.member.gate.to_string().as_str(),
             workspace = &*self.req.workspace, cause = cause.name(), may_queue, running = report.running, queued = report.queued,
-            slots = report.slots, report_age_ms = age_ms, outstanding = to.outstanding();
+            slots = report.slots, report_age_ms = age_ms, outstanding = to.outstanding(),
+            distance = to.distance.name(), left_zone = departure_summary(departure).as_str();
             "attempt sent"
         );
     }
@@ -326,6 +354,9 @@
         if let Some(sent) = self.sent.iter().find(|s| s.id == id) {
             let elapsed = self.driver.shared.now().since(sent.sent_at);
             metrics.latencies.record_attempt(&sent.upstream.to_string(), result.name(), elapsed);
+            if let Some(departure) = sent.departure {
+                self.record_departure(departure, &result);
+            }
         }
         match result {
             AttemptResult::Refused(reason, report) => {
@@ -362,6 +393,29 @@
         }
     }
 
+    /// Counts the result and the bytes of an attempt that left the entry's zone.
+    fn record_departure(&self, sent: SentDeparture, result: &AttemptResult) {
+        let shared = &self.driver.shared;
+        let (response_bytes, end) = match result {
+            AttemptResult::Answered(res, _, false) => {
+                let end = if shared.now() <= self.spec.target { "in-time" } else { "late" };
+                (res.body().size_hint().exact().unwrap_or(0), end)
+            }
+            // A settlement belongs to an attempt that was counted when it was lost.
+            AttemptResult::Settled(_) => return,
+            _ => (0, "not"),
+        };
+        // Without a connection nothing was sent.
+        let request_bytes = match result {
+            AttemptResult::Unsent => 0,
+            _ => sent.request_bytes,
+        };
+        let Departure { reason, .. } = sent.departure;
+        let (route, left) = (&self.req.route, sent.departure.left());
+        let bytes = request_bytes + response_bytes;
+        shared.metrics.departures.record(route, left, reason.name(), end, bytes);
+    }
+
     /// Records that an upstream crashed under the request; returns whether another one may still run it.
     fn record_crash(&self, crash: u64) -> bool {
         let (shared, fingerprint) = (&self.driver.shared, self.req.fingerprint);
@@ -431,7 +485,7 @@
         let future = Abortable::new(future, registration);
         self.attempts.push(async move { (id, future.await.ok()) }.boxed());
         let sent_at = self.driver.shared.now();
-        self.sent.push(SentAttempt { id, upstream, sent_at, abort, connection });
+        self.sent.push(SentAttempt { id, upstream, sent_at, abort, connection, departure: None });
     }
 
     /// Builds the request of an attempt; returns `None` if a streamed body was already sent or
@@ -507,6 +561,16 @@
     }
 }
 
+/// Returns why an attempt leaves the zone, with the expected times within and outside it and the age of the reports, such as
+/// `full home_ms=130.2 away_ms=61.0 age_ms=12`; empty if it doesn't leave.
+fn departure_summary(departure: Option<Departure>) -> String {
+    departure.map_or_else(String::new, |d| {
+        let (home_ms, away_ms) = (d.home_us / 1_000.0, d.away_us / 1_000.0);
+        let reason = d.reason.name();
+        format!("{reason} home_ms={home_ms:.1} away_ms={away_ms:.1} age_ms={}", d.age_ms)
+    })
+}
+
 /// Requests the state of an attempt from its gate; returns `None` if the request fails.
 async fn request_settlement(
     shared: &Shared,
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -420,6 +420,7 @@
             headers: parts.headers,
             body,
             fingerprint,
+            route: Arc::clone(&route.name),
             regions: route.regions.clone(),
             workspace: route.workspace_name(),
             is_retry,
--- a/pistachiolane/src/node/run.rs
+++ b/pistachiolane/src/node/run.rs
@@ -138,7 +138,8 @@
         heartbeat_ms = settings.tunables.heartbeat.as_millis() as u64,
         retry_percent = settings.tunables.retry_percent,
         retry_reserve = settings.tunables.retry_reserve,
-        usable_slots = settings.tunables.usable_slots;
+        usable_slots = settings.tunables.usable_slots,
+        zone_balance = settings.tunables.zone_balance.is_some();
         "started"
     );
     Ok(RunningNode { shared, control, gate })
--- a/pistachiolane/src/routing/candidate.rs
+++ b/pistachiolane/src/routing/candidate.rs
@@ -176,6 +176,11 @@
         draining_or_dead || (self.state() == GateState::Draining && recently_reported())
     }
 
+    /// Whether the upstream is neither ejected nor suspect nor shedding.
+    pub fn is_healthy(&self, now: Tick) -> bool {
+        !self.is_ejected(now) && !self.is_suspect() && self.state() != GateState::Shedding
+    }
+
     /// Whether gossip marks the member as suspect.
     pub fn is_suspect(&self) -> bool {
         self.health.load(Ordering::Relaxed) == Health::Suspect as u8
--- a/pistachiolane/src/routing/distance.rs
+++ b/pistachiolane/src/routing/distance.rs
@@ -27,6 +27,16 @@
         }
     }
 
+    /// Returns the name used in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Local => "local",
+            Self::Zone => "zone",
+            Self::Region => "region",
+            Self::Remote => "remote",
+        }
+    }
+
     /// Returns the cost of transferring a kilobyte of request and response, expressed as a time.
     ///
     /// Traffic that leaves the availability zone costs the users money, and traffic that leaves the region
--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -113,13 +113,10 @@
         let expected = expected + slow_start_occupancy(now, candidate, slots);
         let latency_us = expected_latency_us(now, candidate, baseline, freshness(LATENCY_DECAY));
         let load = (expected + 1.0) / slots;
-        // While slots are free, load hardly delays a request; the small slope distributes load among equal
-        // upstreams.
-        let load_factor = if load <= 1.0 { 1.0 + 0.2 * load * load } else { 0.2 + load };
         let transfer_cost_us =
             candidate.distance.transfer_cost_us_per_kb() * baseline.bytes / BYTES_PER_KB;
         Self {
-            completion_us: latency_us * load_factor
+            completion_us: latency_us * load_factor(load)
                 + micros(candidate.round_trip()) as f64
                 + transfer_cost_us.min(MAX_TRANSFER_COST_US),
             utilisation: expected / slots,
@@ -127,6 +124,12 @@
     }
 }
 
+/// Returns the factor by which a load relative to the slots lengthens a request. While slots are free, load hardly
+/// delays a request; the small slope distributes load among equal upstreams.
+pub(super) fn load_factor(load: f64) -> f64 {
+    if load <= 1.0 { 1.0 + 0.2 * load * load } else { 0.2 + load }
+}
+
 /// Returns the number of requests that run or queue at the gate.
 fn occupancy(report: &crate::schema::LoadReport) -> f64 {
     f64::from(report.running) + f64::from(report.queued)
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -1,7 +1,7 @@
 //! Upstreams of one service, with measurements of the service as a whole.
 
 use {
-    super::{Candidate, Distance, EvacuatedZones},
+    super::{Candidate, Distance, EvacuatedZones, ZoneBalance},
     crate::{
         limits::{Average, Quantile, RetryBudget},
         tick::Tick,
@@ -34,6 +34,8 @@
     pub hedge_after: Quantile,
     /// Average bytes of a request and its response.
     pub bytes: Average,
+    /// Shares of requests that leave the entry's zone; unused unless the zone balance is on.
+    pub balance: ZoneBalance,
 }
 
 impl Default for ServiceState {
@@ -42,6 +44,7 @@
             retries: RetryBudget::default(),
             hedge_after: Quantile::new(HEDGE_QUANTILE_PERMILLE),
             bytes: Average::default(),
+            balance: ZoneBalance::default(),
         }
     }
 }
--- a/pistachiolane/src/settings/process.rs
+++ b/pistachiolane/src/settings/process.rs
@@ -190,6 +190,17 @@
         self.parse(name, &text, expected).unwrap_or(default)
     }
 
+    /// Reads an amount of money, 0 by default.
+    pub(super) fn amount(&mut self, name: &str) -> f64 {
+        let expected = "an amount of 0 or more, such as 0.01";
+        let amount: f64 = self.value(name, 0.0, expected);
+        if amount.is_finite() && amount >= 0.0 {
+            return amount;
+        }
+        self.faults.push(format!("--{name}: `{amount}` is not {expected}"));
+        0.0
+    }
+
     fn optional_address(&mut self, name: &str) -> Option<SocketAddr> {
         let text = self.find(name).filter(|t| !t.is_empty())?;
         self.parse(name, &text, "an IP address and port such as 10.0.0.7:8080")
--- a/pistachiolane/src/settings/tunables.rs
+++ b/pistachiolane/src/settings/tunables.rs
@@ -1,6 +1,6 @@
 //! Settings that a running node reloads from its settings file.
 
-use {super::process::SettingsReader, std::time::Duration};
+use {super::process::SettingsReader, crate::routing::BalancePolicy, std::time::Duration};
 
 /// Default time limit of a graceful shutdown.
 const DEFAULT_STOP_TIMEOUT_S: f64 = 600.0;
@@ -33,6 +33,8 @@
         /// Share of an upstream's slots that may be used at once, in percent; some upstreams slow down when
         /// nearly full.
         pub usable_slots: u32,
+        /// Prices and values by which requests leave their zone; `None` if the zone balance is off.
+        pub zone_balance: Option<BalancePolicy>,
     }
 }
 
@@ -50,7 +52,16 @@
             reader.value("retry-reserve", DEFAULT_RETRY_RESERVE, "a whole number of retries");
         let usable_slots =
             reader.value("usable-slots", DEFAULT_USABLE_SLOTS_PERCENT, "percent, 1 to 100");
+        let zone_balance = reader.value("zone-balance", false, "true or false");
+        let mut amount = |name: &str| reader.amount(name);
+        let policy = BalancePolicy {
+            zone_price: amount("zone-price"),
+            region_price: amount("region-price"),
+            value_in_time: amount("answer-value"),
+            value_late: amount("late-answer-value"),
+        };
         Self {
+            zone_balance: zone_balance.then_some(policy),
             usable_slots: usable_slots.clamp(1, 100),
             stop_timeout,
             heartbeat,
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -60,6 +60,7 @@
             table: &self.table,
             regions: &AllowedRegions::All,
             evacuated: &self.evacuated,
+            balance: None,
             inter_region_budget: &self.inter_region_budget,
             sequence: &self.sequence,
         };
--- a/pistachiolane/tests/cold_upstream.rs
+++ b/pistachiolane/tests/cold_upstream.rs
@@ -193,6 +193,7 @@
                     regions: &AllowedRegions::All,
                     evacuated: EvacuatedZones::none(),
                     allow_remote: true,
+                    balance: None,
                 };
                 let Some(picked) = pick(&entries[entry], req, &mut rng) else { break };
                 let index = picked.candidate.member.node as usize - 1;
--- a/pistachiolane/tests/process_settings.rs
+++ b/pistachiolane/tests/process_settings.rs
@@ -46,3 +46,16 @@
         assert!(faults.iter().any(|f| f.starts_with(flag)), "{flag} in {faults:?}");
     }
 }
+
+/// Guards against a balance that is on without being asked for, and against prices that are no amounts.
+#[test]
+fn zone_balance_is_off_by_default() {
+    assert_eq!(read_settings(&[], &[]).unwrap().tunables.zone_balance, None);
+    let on = [("zone-balance", "true"), ("zone-price", "0.01")];
+    let policy = read_settings(&on, &[]).unwrap().tunables.zone_balance.unwrap();
+    assert!((policy.zone_price, policy.region_price) == (0.01, 0.0) && !policy.has_values());
+    for amount in ["-1", "inf", "NaN", "much"] {
+        let faults = read_settings(&[("answer-value", amount)], &[]).unwrap_err();
+        assert!(faults.iter().any(|f| f.starts_with("--answer-value")), "{amount}: {faults:?}");
+    }
+}
--- a/pistachiolane/tests/routing.rs
+++ b/pistachiolane/tests/routing.rs
@@ -7,10 +7,10 @@
     pistachiolane::{
         limits::TokenBucket,
         routing::{
-            AllowedRegions, Candidate, Distance, EvacuatedZones, PickRequest, ProbeBudgets,
-            ServiceTable, next_probe, pick,
+            AllowedRegions, BalancePolicy, BalanceTerms, Candidate, DepartureReason, Distance,
+            EvacuatedZones, PickRequest, ProbeBudgets, ServiceTable, next_probe, pick,
         },
-        schema::{GateState, Health, LoadReport},
+        schema::{GateState, Health, LoadReport, MemberRecord},
         tick::Tick,
     },
     rand::{SeedableRng, rngs::SmallRng},
@@ -37,7 +37,8 @@
 fn picks(table: &ServiceTable, excluded_nodes: &[u64], allow_remote: bool) -> Vec<u64> {
     let mut rng = SmallRng::seed_from_u64(1);
     let (regions, evacuated) = (&AllowedRegions::All, EvacuatedZones::none());
-    let req = PickRequest { now: NOW, excluded_nodes, regions, evacuated, allow_remote };
+    let req =
+        PickRequest { now: NOW, excluded_nodes, regions, evacuated, allow_remote, balance: None };
     let mut nodes: Vec<u64> = (0..200)
         .filter_map(|_| pick(table, req, &mut rng))
         .map(|p| p.candidate.member.node)
@@ -252,6 +253,7 @@
         regions: &AllowedRegions::All,
         evacuated: EvacuatedZones::none(),
         allow_remote: true,
+        balance: None,
     };
     let in_zone = (0..200)
         .filter_map(|_| pick(&table, req, &mut rng))
@@ -259,3 +261,67 @@
         .count();
     assert!(in_zone >= 198, "{in_zone} of 200 picks");
 }
+
+/// Guards against a change of any pick in deployments without the zone balance: the expected nodes are those that were
+/// picked with these random numbers before the balance existed.
+#[test_case(12, &[7, 7, 5, 11, 8, 4, 12, 9, 11, 8, 5, 10, 4, 6, 6, 5, 8, 7, 4, 2, 4, 11, 2, 6, 1, 5, 6, 1, 12, 12]; "all candidates weighed")]
+#[test_case(40, &[23, 11, 8, 28, 17, 29, 1, 20, 2, 37, 5, 38, 22, 14, 40, 19, 11, 35, 23, 25, 2, 34, 5, 13, 1, 37, 28, 8, 20, 4]; "sampled")]
+fn picks_without_balance_are_as_before(upstreams: u64, expected: &[u64]) {
+    let place = |n: u64| [Distance::Zone, Distance::Region, Distance::Remote][n as usize % 3];
+    let table = table(&(0..upstreams).map(place).collect::<Vec<_>>());
+    table.state.bytes.record(500.0);
+    for (candidate, n) in table.candidates.iter().zip(1..) {
+        candidate.record_report(NOW, &report(1, n * 7 % 13, 60_000));
+    }
+    let mut rng = SmallRng::seed_from_u64(7);
+    let req = PickRequest {
+        now: NOW,
+        excluded_nodes: &[3],
+        regions: &AllowedRegions::All,
+        evacuated: EvacuatedZones::none(),
+        allow_remote: true,
+        balance: None,
+    };
+    let picked: Vec<u64> = (0..300)
+        .map(|_| {
+            let candidate = pick(&table, req, &mut rng).unwrap().candidate;
+            candidate.record_sent(NOW);
+            candidate.member.node
+        })
+        .collect();
+    assert_eq!(picked[270..], *expected);
+}
+
+/// Guards against requests that wait for a share to rise although no upstream of their own zone can run them.
+#[test_case(|c| c.set_health(Health::Dead), DepartureReason::None; "none usable")]
+#[test_case(|c| c.eject(NOW), DepartureReason::Ejected; "all ejected")]
+fn balance_leaves_zone_without_usable_upstream_at_once(
+    fail: fn(&Candidate),
+    expected: DepartureReason,
+) {
+    let distances = [Distance::Zone, Distance::Zone, Distance::Region];
+    let candidates = distances.iter().zip(1..).map(|(&distance, node)| {
+        let zone = format!("{distance:?}").into();
+        Arc::new(Candidate::new(MemberRecord { zone, ..member(node) }, distance, 10))
+    });
+    let table = ServiceTable::new("sizing".into(), candidates.collect(), Arc::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let req = PickRequest {
+        now: NOW,
+        excluded_nodes: &[],
+        regions: &AllowedRegions::All,
+        evacuated: EvacuatedZones::none(),
+        allow_remote: true,
+        balance: Some(BalanceTerms {
+            policy: BalancePolicy::default(),
+            target: Duration::from_millis(300),
+        }),
+    };
+    assert!(pick(&table, req, &mut rng).unwrap().departure.is_none());
+    table.candidates[..2].iter().for_each(|c| fail(c));
+    for after_ms in [1, 60] {
+        let req = PickRequest { now: NOW + Duration::from_millis(after_ms), ..req };
+        let departure = pick(&table, req, &mut rng).unwrap().departure.unwrap();
+        assert_eq!(departure.reason, expected, "after {after_ms} ms");
+    }
+}
