A test that short zones divide the room of an idle one

Cause: trials in which each short zone took the whole room, or shares followed at once, passed all patterns. Result: five zones send less than 7 requests within 50 ms.

--- a/pistachiolane/src/routing/zone_shares.rs
+++ b/pistachiolane/src/routing/zone_shares.rs
@@ -161,8 +161,8 @@
         let remote_wanted =
             self.remote * (1.0 - give_back(Distance::Remote)) + remote_grant / demand - remote_back;
 
-        // A share that follows faster than its effect shows in reports swings around its value. The newest report
-        // tells how late reports are at least; the others are old where few requests are sent.
+        // Shares wait for their effect to show in reports, so that one set of reports doesn't move them twice. The newest
+        // report tells how late reports are at least; the others are old where few requests are sent.
         let lag_us = home.newest_us.min(MAX_LAG_US) + home.latency_us;
         let time_constant = micros(SHARE_TIME_CONSTANT) as f64 + lag_us;
         let step = 1.0 - (-(micros(since) as f64) / time_constant).exp();
--- a/pistachiolane/tests/zone_balance.rs
+++ b/pistachiolane/tests/zone_balance.rs
@@ -8,7 +8,8 @@
         attempt::{Call, CallAction, CallContext, CallEvent, CallSpec, Outcome},
         limits::{RefusalReason, TokenBucket},
         routing::{
-            AllowedRegions, BalancePolicy, Candidate, Distance, EvacuatedZones, ServiceTable,
+            AllowedRegions, BalancePolicy, BalanceTerms, Candidate, Distance, EvacuatedZones,
+            ServiceTable, ZoneLoad, ZoneShares,
         },
         schema::{AttemptId, GateState, Health, LoadReport, MemberRecord, WorkKind},
         tick::Tick,
@@ -408,6 +409,35 @@
     }
 }
 
+/// Guards against zones that each take the whole room of an idle one, and against shares that jump: within the first 50 ms
+/// five short zones together send at most 0.3 of the room to it.
+#[test]
+fn short_zones_divide_the_room_of_an_idle_one() {
+    let terms =
+        BalanceTerms { policy: BalancePolicy::default(), target: Duration::from_millis(300) };
+    let load = |zone: usize, home: usize| ZoneLoad {
+        region: "r".into(),
+        zone: zone.to_string().into(),
+        distance: if zone == home { Distance::Zone } else { Distance::Region },
+        slots: 50.0,
+        occupied: if zone == 5 { 10.0 } else { 60.0 },
+        latency_us: 80_000.0,
+        round_trip_us: 4_000.0,
+        age_us: 0.0,
+        newest_us: 0.0,
+    };
+    let sent = |home| {
+        let zones: Vec<ZoneLoad> = (0..6).map(|zone| load(zone, home)).collect();
+        let next = |shares: ZoneShares, ms| shares.next(Tick(ms * MS), &zones, &terms, 5_000.0);
+        next(next(ZoneShares::default(), 1_000), 1_050).region * 60.0
+    };
+    let (total, idle) = ((0..5).map(sent).sum::<f64>(), sent(5));
+    // Its target occupancy less the hysteresis is 0.67 to 0.83 of 50 slots, of which 10 are in use.
+    let room = 23.5..31.5;
+    assert!(total > 0.1 * room.start && total < 0.3 * room.start, "{total}");
+    assert!(idle == 0.0, "{idle}");
+}
+
 /// Guards against shares that swing: once settled, the share that leaves changes little from second to second.
 #[test]
 fn share_is_stable_under_constant_load() {
