--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -31,7 +31,7 @@
     average::Average,
     cold_state::{ColdChange, ColdSource, ColdState},
     entry_throttle::{CallUrgency, EntryThrottle, ThrottleState},
-    gate::{AdmissionDecision, Gate, RefusalReason},
+    gate::{AdmissionDecision, Gate, RefusalReason, WARMING_DURATION},
     platform_share::{
         MILLICALLS_PER_CALL, WATCHERS_PER_REGION, platform_budget_millicalls,
         platform_share_millicalls,
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -489,6 +489,7 @@
             headers: parts.headers,
             body,
             fingerprint,
+            route: Arc::clone(&route.name),
             regions: route.regions.clone(),
             workspace: route.workspace_name(),
             is_retry,
--- a/pistachiolane/src/routing/candidate.rs
+++ b/pistachiolane/src/routing/candidate.rs
@@ -3,6 +3,7 @@
 use {
     super::Distance,
     crate::{
+        limits::WARMING_DURATION,
         schema::{GateState, Health, LoadReport, MemberRecord},
         tick::{Tick, micros},
     },
@@ -175,6 +176,11 @@
         draining_or_dead || (self.state() == GateState::Draining && recently_reported())
     }
 
+    /// Whether the upstream is neither ejected nor suspect nor shedding.
+    pub fn is_healthy(&self, now: Tick) -> bool {
+        !self.is_ejected(now) && !self.is_suspect() && self.state() != GateState::Shedding
+    }
+
     /// Whether gossip marks the member as suspect.
     pub fn is_suspect(&self) -> bool {
         self.health.load(Ordering::Relaxed) == Health::Suspect as u8
@@ -185,6 +191,14 @@
         unpack(self.load.load(Ordering::Acquire)).state
     }
 
+    /// Whether the last report says that the upstream is warming and is recent enough for that to hold still.
+    ///
+    /// An upstream without traffic sends no newer report, so its state must expire here.
+    pub fn is_warming(&self, now: Tick) -> bool {
+        self.state() == GateState::Warming
+            && self.report_age(now).is_some_and(|age| age < WARMING_DURATION)
+    }
+
     /// Returns the last report.
     pub fn last_report(&self) -> LoadReport {
         let load = unpack(self.load.load(Ordering::Acquire));
--- a/pistachiolane/src/routing/service_table.rs
+++ b/pistachiolane/src/routing/service_table.rs
@@ -1,7 +1,7 @@
 //! Upstreams of one service, with measurements of the service as a whole.
 
 use {
-    super::{AllowedRegions, Candidate, Distance, EvacuatedZones},
+    super::{AllowedRegions, Candidate, Distance, EvacuatedZones, ZoneBalance},
     crate::{
         limits::{Average, EntryThrottle, Quantile, RetryBudget},
         schema::GateState,
@@ -58,6 +58,8 @@
     pub hedge_after: Quantile,
     /// Average bytes of a request and its response.
     pub bytes: Average,
+    /// Shares of requests that leave the entry's zone; unused unless the zone balance is on.
+    pub balance: ZoneBalance,
 }
 
 impl Default for ServiceState {
@@ -69,6 +71,7 @@
             throttles: HashMap::new(),
             hedge_after: Quantile::new(HEDGE_QUANTILE_PERMILLE),
             bytes: Average::default(),
+            balance: ZoneBalance::default(),
         }
     }
 }
@@ -192,8 +195,7 @@
         for candidate in &self.candidates {
             let is_straggler = candidate.last_report().latency_us > threshold_us;
             // An upstream that is warming or in slow start is expected to be slow for a while.
-            let needs_slow_start =
-                candidate.is_in_slow_start(now) || candidate.state() == GateState::Warming;
+            let needs_slow_start = candidate.is_in_slow_start(now) || candidate.is_warming(now);
             if !is_straggler
                 || needs_slow_start
                 || ejected_count >= max_ejected
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -75,6 +75,7 @@
             table: &self.table,
             regions: &self.regions,
             evacuated: &self.evacuated,
+            balance: None,
             inter_region_budget: &self.inter_region_budget,
             sequence: &self.sequence,
         };
--- a/pistachiolane/tests/cold_upstream.rs
+++ b/pistachiolane/tests/cold_upstream.rs
@@ -152,6 +152,7 @@
                     regions,
                     evacuated,
                     allow_remote: true,
+                    balance: None,
                 };
                 let candidate = pick(&entries[entry], req, &mut rng).unwrap().candidate;
                 let gate = candidate.member.node as usize - 1;
