--- a/pistachiolane/src/node/entry/limit_check.rs
+++ b/pistachiolane/src/node/entry/limit_check.rs
@@ -59,6 +59,7 @@
         log::info!(
             target: "limits", request = id, workspace = &*workspace.name,
             limit = workspace.limit.map_or(0.0, |l| l.requests_per_second),
+            burst = workspace.limit.map_or(0.0, |l| l.burst),
             owner = format!("{:016x}", seen.owner).as_str(), state = seen.state.name(),
             level = seen.level, granted = seen.granted, spent = seen.spent,
             refused = seen.refused, answer_age_ms = age_ms,
