The test of regions takes hedges before the retries that spend their budget

Change: the slow upstream comes before the resets, and the last request waits until the throttle has forgotten the shed ones. The checks are the same.

--- a/lab/tests/platform_regions.rs
+++ b/lab/tests/platform_regions.rs
@@ -63,8 +63,9 @@
         let codes = send_many(&hosts[entry], method, path).await;
         assert!(codes.contains(&200), "{codes:?}");
     }
-    // A reset makes a retry due, a slow upstream a hedge; a shed request is tried elsewhere.
-    for path in ["/sizing/reset", "/sizing/shed", "/sizing/slow"] {
+    // A slow upstream makes a hedge due, a reset a retry; a shed request is tried elsewhere. Retries would spend the budget
+    // that hedges need.
+    for path in ["/sizing/slow", "/sizing/reset", "/sizing/shed"] {
         // The entry rejects calls for a second after upstreams have shed most of them.
         tokio::time::sleep(THROTTLE_WINDOW).await;
         let codes = send_many(&hosts[entry], "GET", path).await;
@@ -77,6 +78,7 @@
     for host in &hosts[..2] {
         host.send_heartbeat("i-1", "draining", 2, 100).await;
     }
+    tokio::time::sleep(THROTTLE_WINDOW).await;
     let response = hosts[entry].send_request("POST", "/orders/ok", "last").await;
     assert_eq!(status_code(&response), 503, "{response}");
     assert!(response.contains("no-upstream") && response.contains("retry-after: "), "{response}");
