Throttling at the entry is off unless a deployment asks for it

Change: the setting entry-throttle, off by default, switches all three. The engine and the test hosts have it on.

--- a/lab/tests/common/mod.rs
+++ b/lab/tests/common/mod.rs
@@ -125,6 +125,7 @@
             "platform" => format!("http://{store_address}"),
             "service" => "huvo".to_owned(),
             "heartbeat" => "60".to_owned(),
+            "entry-throttle" => "true".to_owned(),
             other => return flags.iter().find(|(n, _)| *n == other).map(|(_, v)| (*v).to_owned()),
         })
     };
--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -199,7 +199,8 @@
 
     /// Whether the call is rejected before its first attempt: calls like it are refused, and no recent report shows room.
     fn is_throttled<R: Rng>(&self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> bool {
-        cx.table.state.throttle(cx.regions).rejects(now, self.spec.urgency, rng)
+        self.spec.throttling.is_on()
+            && cx.table.state.throttle(cx.regions).rejects(now, self.spec.urgency, rng)
             && !cx.table.has_room(now, cx.regions, cx.evacuated, &[])
     }
 
@@ -277,6 +278,7 @@
         }
         let may_continue = match reason {
             RefusalReason::Shed => self.try_spend_retry_after_shed(cx),
+            _ if !self.spec.throttling.is_on() => true,
             RefusalReason::QueueFull => self.try_spend_further_attempt(now, cx),
             RefusalReason::Busy => {
                 // The call has asked for no place in a queue yet. Without budget, first attempts may queue.
@@ -558,7 +560,8 @@
         }
         let is_direct = self.spec.replayable
             && self.direct_attempts < MAX_DIRECT_ATTEMPTS
-            && cx.table.state.attempts_after_busy.available() > 0;
+            && (!self.spec.throttling.is_on()
+                || cx.table.state.attempts_after_busy.available() > 0);
         let req = PickRequest {
             now,
             excluded_nodes: &self.excluded_nodes,
--- a/pistachiolane/src/attempt/call_spec.rs
+++ b/pistachiolane/src/attempt/call_spec.rs
@@ -1,6 +1,9 @@
 //! Limits and properties of one call.
 
-use crate::{limits::CallUrgency, schema::WorkKind, tick::Tick};
+use {
+    super::Throttling,
+    crate::{limits::CallUrgency, schema::WorkKind, tick::Tick},
+};
 
 /// Default number of retries and hedges per hundred requests, as in the settings of a service.
 const DEFAULT_RETRY_PERCENT: u32 = 10;
@@ -32,6 +35,8 @@
         pub class: u32,
         /// Priority under overload; 0 is served first.
         pub priority: u8,
+        /// Whether the call may be rejected before its first attempt, and its further attempts draw on budgets.
+        pub throttling: Throttling,
         /// Order in which the entry rejects calls under overload.
         pub urgency: CallUrgency,
     }
@@ -51,6 +56,7 @@
             target: deadline,
             class: 0,
             priority: 0,
+            throttling: Throttling::On,
             urgency: CallUrgency::High,
         }
     }
--- a/pistachiolane/src/attempt/mod.rs
+++ b/pistachiolane/src/attempt/mod.rs
@@ -8,6 +8,7 @@
 mod call_spec;
 mod ledger;
 mod outcome;
+mod throttling;
 
 pub use {
     admission::{Admission, AttemptDecision, Ticket},
@@ -17,4 +18,5 @@
     call_spec::CallSpec,
     ledger::{AttemptState, BeginError, Ledger},
     outcome::{NotRunReason, Outcome},
+    throttling::Throttling,
 };
--- a/pistachiolane/src/cli/args.rs
+++ b/pistachiolane/src/cli/args.rs
@@ -186,6 +186,13 @@
         help = "share of the upstream's slots that may be used at once (100)"
     )]
     pub usable_slots: Option<String>,
+    /// Whether calls to services that refuse many are throttled.
+    #[options(
+        no_short,
+        meta = "BOOL",
+        help = "whether to reject calls before the first attempt while their service refuses many (false)"
+    )]
+    pub entry_throttle: Option<String>,
     /// Whether shares of requests leave a zone that is short of upstreams.
     #[options(
         no_short,
@@ -252,6 +259,7 @@
             "retry-percent" => &self.retry_percent,
             "retry-reserve" => &self.retry_reserve,
             "usable-slots" => &self.usable_slots,
+            "entry-throttle" => &self.entry_throttle,
             "zone-balance" => &self.zone_balance,
             "zone-price" => &self.zone_price,
             "region-price" => &self.region_price,
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -473,6 +473,7 @@
             target: started + route.target_latency.min(budget),
             class: route.class,
             priority: route.priority,
+            throttling: shared.tunables.load().entry_throttle.into(),
             urgency: CallUrgency::new(route.priority, is_nested),
         };
         let path = parts.uri.path_and_query().map_or("/", |p| p.as_str()).to_owned();
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -134,6 +134,9 @@
         let Some(slot) = self.slot.take().filter(|_| !self.has_ended) else {
             return;
         };
+        if !self.shared.tunables.load().entry_throttle {
+            return;
+        }
         let elapsed = self.shared.now().since(self.started);
         let expected = self.shared.admission.times.expected(self.class);
         slot.release_after(abandoned_run_time(elapsed, expected));
--- a/pistachiolane/src/settings/tunables.rs
+++ b/pistachiolane/src/settings/tunables.rs
@@ -33,6 +33,9 @@
         /// Share of an upstream's slots that may be used at once, in percent; some upstreams slow down when
         /// nearly full.
         pub usable_slots: u32,
+        /// Whether the entry throttles calls to services that refuse many, with budgets of further attempts, and the gate
+        /// keeps the slots of abandoned requests.
+        pub entry_throttle: bool,
         /// Prices and values by which requests leave their zone; `None` if the zone balance is off.
         pub zone_balance: Option<BalancePolicy>,
     }
@@ -52,6 +55,7 @@
             reader.value("retry-reserve", DEFAULT_RETRY_RESERVE, "a whole number of retries");
         let usable_slots =
             reader.value("usable-slots", DEFAULT_USABLE_SLOTS_PERCENT, "percent, 1 to 100");
+        let entry_throttle = reader.value("entry-throttle", false, "true or false");
         let zone_balance = reader.value("zone-balance", false, "true or false");
         let mut amount = |name: &str| reader.amount(name);
         let policy = BalancePolicy {
@@ -61,6 +65,7 @@
             value_late: amount("late-answer-value"),
         };
         Self {
+            entry_throttle,
             zone_balance: zone_balance.then_some(policy),
             usable_slots: usable_slots.clamp(1, 100),
             stop_timeout,
