One member record for nodes in virtual time

The overload experiment had a copy of the record that the policy experiment builds; both call virtual_member::record now. Values are the same.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod slopes;
 pub mod soak;
 pub mod stand_in;
+mod virtual_member;
--- a/lab/src/overload.rs
+++ b/lab/src/overload.rs
@@ -2,18 +2,18 @@
 //! handles it, so refused attempts delay the answers of the nodes that refuse them.
 
 use {
+    crate::virtual_member,
     pistachiolane::{
         attempt::{CallAction, CallEvent, CallSpec, Outcome},
         engine::{Engine, EngineAction, EngineEvent, RunResult},
         membership::MembershipEvent,
-        schema::{AttemptHeader, AttemptId, Health, MemberRecord, Placement, WorkKind},
+        schema::{AttemptHeader, AttemptId, MemberRecord, Placement, WorkKind},
         tick::{Tick, micros},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
         cmp::Reverse,
         collections::{BinaryHeap, HashMap},
-        net::{Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
     },
@@ -305,18 +305,8 @@
 }
 
 fn member_record(index: usize) -> MemberRecord {
-    let address = |port| SocketAddr::from((Ipv4Addr::new(10, 0, 0, index as u8 + 1), port));
     let placement = Placement { service: Arc::from(SERVICE), slots: SLOTS };
-    MemberRecord {
-        node: index as u64 + 1,
-        revision: 1,
-        health: Health::Alive,
-        gate: address(8081),
-        control: address(8082),
-        region: "svealand".into(),
-        zone: format!("svealand-{}", index % ZONES).into(),
-        upstreams: if index < UPSTREAMS { vec![placement] } else { Vec::new() },
-    }
+    virtual_member::record(index, index % ZONES, (index < UPSTREAMS).then_some(placement))
 }
 
 fn link(entry: usize, gate: usize) -> Duration {
--- a/lab/src/policy/model.rs
+++ b/lab/src/policy/model.rs
@@ -5,19 +5,19 @@
         policies::{BaselineState, Policy},
         upstreams::{JobEnd, StartedJob, Upstream},
     },
+    crate::virtual_member,
     hdrhistogram::Histogram,
     pistachiolane::{
         attempt::{AttemptCause, CallAction, CallEvent, CallSpec, Outcome},
         engine::{Engine, EngineAction, EngineEvent, RunResult},
         membership::MembershipEvent,
-        schema::{AttemptHeader, AttemptId, Health, LoadReport, MemberRecord, Placement, WorkKind},
+        schema::{AttemptHeader, AttemptId, LoadReport, MemberRecord, Placement, WorkKind},
         tick::{Tick, micros},
     },
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::{
         cmp::Reverse,
         collections::{BinaryHeap, HashMap},
-        net::{Ipv4Addr, SocketAddr},
         sync::Arc,
         time::Duration,
     },
@@ -467,18 +467,8 @@
 }
 
 fn member_record(index: usize) -> MemberRecord {
-    let address = |port| SocketAddr::from((Ipv4Addr::new(10, 0, 0, index as u8 + 1), port));
     let placement = Placement { service: Arc::from("sizing"), slots: 13 };
-    MemberRecord {
-        node: index as u64 + 1,
-        revision: 1,
-        health: Health::Alive,
-        gate: address(8081),
-        control: address(8082),
-        region: "svealand".into(),
-        zone: format!("svealand-{}", index % UPSTREAMS).into(),
-        upstreams: if index < UPSTREAMS { vec![placement] } else { Vec::new() },
-    }
+    virtual_member::record(index, index % UPSTREAMS, (index < UPSTREAMS).then_some(placement))
 }
 
 fn round_trip(entry: usize, upstream: usize) -> Duration {
