--- a/pistachiolane/src/routing/estimate.rs
+++ b/pistachiolane/src/routing/estimate.rs
@@ -20,7 +20,7 @@
 const SLOWNESS_WEIGHT: f64 = 0.6;
 
 /// Service time that is assumed until an upstream of the service reports one.
-const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(5);
+pub(super) const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(5);
 
 /// Bytes per kilobyte, the unit of transfer costs.
 const BYTES_PER_KB: f64 = 1_000.0;
@@ -131,7 +131,7 @@
 }
 
 /// Returns the number of requests that run or queue at the gate.
-fn occupancy(report: &crate::schema::LoadReport) -> f64 {
+pub(super) fn occupancy(report: &crate::schema::LoadReport) -> f64 {
     f64::from(report.running) + f64::from(report.queued)
 }
 
--- a/pistachiolane/src/routing/zone_load.rs
+++ b/pistachiolane/src/routing/zone_load.rs
@@ -1,7 +1,10 @@
 //! Load of the upstreams of one service in one zone, as an entry knows it from load reports.
 
 use {
-    super::{Candidate, Distance, estimate::load_factor},
+    super::{
+        Candidate, Distance,
+        estimate::{DEFAULT_SERVICE_TIME, load_factor, occupancy},
+    },
     crate::tick::{Tick, micros},
     std::{sync::Arc, time::Duration},
 };
@@ -18,9 +21,6 @@
 /// by how much the demand is too high.
 const MAX_OCCUPANCY: f64 = 1.5;
 
-/// Service time that is assumed until an upstream of the service reports one, in microseconds.
-const DEFAULT_LATENCY_US: f64 = 5_000.0;
-
 record! {
     /// Load of the usable upstreams of one zone.
     pub struct ZoneLoad {
@@ -69,8 +69,11 @@
         }
         let timed_slots: f64 = zones.iter().map(|z| z.timed_slots).sum();
         let latency_sum: f64 = zones.iter().map(|z| z.load.latency_us).sum();
-        let typical_us =
-            if timed_slots > 0.0 { latency_sum / timed_slots } else { DEFAULT_LATENCY_US };
+        let typical_us = if timed_slots > 0.0 {
+            latency_sum / timed_slots
+        } else {
+            micros(DEFAULT_SERVICE_TIME) as f64
+        };
         zones.into_iter().map(|z| z.into_load(typical_us)).collect()
     }
 
@@ -104,8 +107,7 @@
     fn add(&mut self, now: Tick, candidate: &Candidate) {
         let report = candidate.last_report();
         let slots = f64::from(report.slots);
-        let known = f64::from(report.running) + f64::from(report.queued);
-        let known = known + f64::from(candidate.sent_since_report());
+        let known = occupancy(&report) + f64::from(candidate.sent_since_report());
         let mut weight = 0.0;
         if let Some(age) = candidate.report_age(now) {
             weight = (-age.as_secs_f64() / REPORT_DECAY.as_secs_f64()).exp();
