--- a/pistachiolane/src/node/control/settings_comparison.rs
+++ b/pistachiolane/src/node/control/settings_comparison.rs
@@ -8,7 +8,7 @@
         },
         shared::Shared,
     },
-    crate::schema::SubtreeVersion,
+    crate::{schema::SubtreeVersion, tick::Tick},
     std::{net::SocketAddr, sync::atomic::Ordering},
 };
 
@@ -36,11 +36,7 @@
     };
     let received_newer = !reply.newer.is_empty();
     handle.apply_packed(reply.newer).await;
-    shared.settings_age.resolve(shared.now());
-    shared.confirm_evacuations(requested_at);
-    if received_newer {
-        shared.has_settings.store(true, Ordering::Relaxed);
-    }
+    record_comparison(shared, requested_at, received_newer);
     if reply.wanted.is_empty() {
         return;
     }
@@ -66,11 +62,7 @@
     };
     let received_newer = !reply.newer.is_empty();
     handle.apply(reply.newer, "peer").await;
-    shared.settings_age.resolve(shared.now());
-    shared.confirm_evacuations(requested_at);
-    if received_newer {
-        shared.has_settings.store(true, Ordering::Relaxed);
-    }
+    record_comparison(shared, requested_at, received_newer);
     if reply.wanted.is_empty() {
         return;
     }
@@ -80,6 +72,15 @@
     }
 }
 
+/// Records that the settings in force are those of a peer, as of a request of `requested_at`.
+fn record_comparison(shared: &Shared, requested_at: Tick, received_newer: bool) {
+    shared.settings_age.resolve(shared.now());
+    shared.confirm_evacuations(requested_at);
+    if received_newer {
+        shared.has_settings.store(true, Ordering::Relaxed);
+    }
+}
+
 fn log_failed_comparison(from: SocketAddr, error: &ControlError) {
     let from = from.to_string();
     log::info!(
