--- a/pistachiolane/src/limits/wait_queue.rs
+++ b/pistachiolane/src/limits/wait_queue.rs
@@ -188,13 +188,12 @@
             gate.release_queue_place();
             return Some(Dequeued::UpstreamUnavailable(attempt.item));
         }
-        if self.len() > gate.queue_bound() as usize
-            && let Some((key, index)) = self.find_late(now)
-        {
+        let is_over_bound = self.len() > gate.queue_bound() as usize;
+        if is_over_bound && let Some((key, index)) = self.find_late(now) {
             gate.release_queue_place();
             return self.remove(&key, index).map(|attempt| Dequeued::Shed(attempt.item));
         }
-        if self.len() > gate.queue_bound() as usize || self.last_is_too_late(now, gate) {
+        if is_over_bound || self.last_is_too_late(now, gate) {
             gate.release_queue_place();
             return self.shed_newest_of_longest().map(Dequeued::Shed);
         }
