--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -78,6 +78,20 @@
     pub sequence: &'a AtomicU64,
 }
 
+impl<'a> CallContext<'a> {
+    /// Returns the request for a pick among nearby upstreams where the call may run, without the zone balance.
+    fn nearby_pick(self, now: Tick, excluded_nodes: &'a [u64]) -> PickRequest<'a> {
+        PickRequest {
+            now,
+            excluded_nodes,
+            regions: self.regions,
+            evacuated: self.evacuated,
+            allow_remote: false,
+            balance: None,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct InFlightAttempt {
     id: AttemptId,
@@ -452,14 +466,7 @@
     }
 
     fn has_alternative<R: Rng>(&self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> bool {
-        let req = PickRequest {
-            now,
-            excluded_nodes: &self.excluded_nodes,
-            regions: cx.regions,
-            evacuated: cx.evacuated,
-            allow_remote: false,
-            balance: None,
-        };
+        let req = cx.nearby_pick(now, &self.excluded_nodes);
         pick(cx.table, req, rng).is_some()
     }
 
@@ -522,14 +529,7 @@
         };
         let mut excluded_nodes = self.excluded_nodes.clone();
         excluded_nodes.push(original.candidate.member.node);
-        let req = PickRequest {
-            now,
-            excluded_nodes: &excluded_nodes,
-            regions: cx.regions,
-            evacuated: cx.evacuated,
-            allow_remote: false,
-            balance: None,
-        };
+        let req = cx.nearby_pick(now, &excluded_nodes);
         let pick = pick(cx.table, req, rng)?;
         let retries = &cx.table.state.retries;
         let has_capacity = pick.estimate.utilisation < MAX_HEDGE_UTILISATION;
@@ -563,12 +563,9 @@
             && (!self.spec.throttling.is_on()
                 || cx.table.state.attempts_after_busy.available() > 0);
         let req = PickRequest {
-            now,
-            excluded_nodes: &self.excluded_nodes,
-            regions: cx.regions,
-            evacuated: cx.evacuated,
             allow_remote: true,
             balance: self.balance_terms(now, cx),
+            ..cx.nearby_pick(now, &self.excluded_nodes)
         };
         // If only remote upstreams are allowed or usable, the byte budget doesn't refuse the request.
         let picked = pick(cx.table, req, rng)
