An entry without throttling keeps no throttle

Cause: found by reading. With entry-throttle off, each call still looked up the service's throttle twice, counted its end there, and the Retry-After of refused calls grew with the share that the throttle would have rejected. The setting was described as off. Change: without throttling a call has no throttle. So with the default the Retry-After depends on the expected wait alone, as before the throttle existed; with the setting on nothing changes. A default of the type that nobody used goes.

--- a/pistachiolane/src/attempt/call.rs
+++ b/pistachiolane/src/attempt/call.rs
@@ -3,7 +3,7 @@
 use {
     super::{AttemptCause, CallAction, CallEvent, CallSpec, NotRunReason, Outcome},
     crate::{
-        limits::{RefusalReason, TokenBucket, retry_after},
+        limits::{EntryThrottle, RefusalReason, TokenBucket, retry_after},
         recovery::QUARANTINE,
         routing::{
             AllowedRegions, BalancePolicy, BalanceTerms, Candidate, Departure, Distance,
@@ -195,9 +195,16 @@
         actions
     }
 
+    /// Returns the throttle of the service's calls, unless the entry throttles none.
+    fn throttle(&self, cx: CallContext<'_>) -> Option<Arc<EntryThrottle>> {
+        self.spec.throttling.is_on().then(|| cx.table.state.throttle(cx.regions))
+    }
+
     /// Records at the service's throttle whether the upstreams had room for the call; other ends show nothing about load.
     fn record_load(&self, now: Tick, cx: CallContext<'_>, outcome: Outcome) {
-        let throttle = cx.table.state.throttle(cx.regions);
+        let Some(throttle) = self.throttle(cx) else {
+            return;
+        };
         let urgency = self.spec.urgency;
         match outcome {
             Outcome::Answer(_) => throttle.record_accepted(now, urgency),
@@ -213,8 +220,7 @@
 
     /// Whether the call is rejected before its first attempt: calls like it are refused, and no recent report shows room.
     fn is_throttled<R: Rng>(&self, now: Tick, cx: CallContext<'_>, rng: &mut R) -> bool {
-        self.spec.throttling.is_on()
-            && cx.table.state.throttle(cx.regions).rejects(now, self.spec.urgency, rng)
+        self.throttle(cx).is_some_and(|t| t.rejects(now, self.spec.urgency, rng))
             && !cx.table.has_room(now, cx.regions, cx.evacuated, &[])
     }
 
@@ -667,9 +673,9 @@
         if self.may_have_run {
             return Outcome::Unknown;
         }
-        let throttle = cx.table.state.throttle(cx.regions);
-        let throttled_wait = throttle.expected_wait(now, self.spec.urgency);
-        let wait = cx.table.expected_wait(now, cx.regions, cx.evacuated).max(throttled_wait);
+        let throttled_wait = self.throttle(cx).map(|t| t.expected_wait(now, self.spec.urgency));
+        let wait = cx.table.expected_wait(now, cx.regions, cx.evacuated);
+        let wait = wait.max(throttled_wait.unwrap_or_default());
         Outcome::NotRun { reason, retry_after: retry_after(rng, wait) }
     }
 
--- a/pistachiolane/src/attempt/throttling.rs
+++ b/pistachiolane/src/attempt/throttling.rs
@@ -2,12 +2,10 @@
 
 value! {
     /// Whether a call may be rejected before its first attempt, and whether its further attempts draw on budgets.
-    #[derive(Default)]
     pub enum Throttling {
         /// No call is throttled.
         Off,
         /// Calls to services that refuse many are throttled.
-        #[default]
         On,
     }
 }
--- a/pistachiolane/tests/call.rs
+++ b/pistachiolane/tests/call.rs
@@ -6,7 +6,8 @@
     common::member,
     pistachiolane::{
         attempt::{
-            AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec, NotRunReason, Outcome,
+            AttemptCause, Call, CallAction, CallContext, CallEvent, CallSpec, NotRunReason,
+            Outcome, Throttling,
         },
         limits::{RefusalReason, TokenBucket},
         membership::{Members, MembershipAction, MembershipEvent},
@@ -361,6 +362,25 @@
     assert!((100..=110).contains(&attempts), "{attempts} attempts for 100 requests");
 }
 
+/// Guards against an entry without throttling that rejects calls, or lengthens the Retry-After of those that are refused,
+/// because many were refused before.
+#[test]
+fn refused_calls_without_throttling_are_not_counted() {
+    let mut harness = CallHarness::new(WorkKind::Idempotent, 2);
+    for _ in 0..50 {
+        harness.call = Call::new(CallSpec { throttling: Throttling::Off, ..harness.spec });
+        let mut next = Some(harness.start());
+        while let Some(id) = next {
+            let refused = CallEvent::Refused(id, RefusalReason::QueueFull, None);
+            next = sent_attempt(&harness.step(Tick(0), refused)).map(|(id, _)| id);
+        }
+        assert!(harness.call.is_finished());
+    }
+    let throttle = harness.table.state.throttle(&harness.regions);
+    assert_eq!(throttle.state(Tick(0), harness.spec.urgency).refused, 0);
+    assert_eq!(throttle.expected_wait(Tick(0), harness.spec.urgency), Duration::ZERO);
+}
+
 /// Guards against a settlement, which closes the connection that other attempts use, after the gate
 /// itself has responded that the outcome is unknown.
 #[test_case(WorkKind::NonIdempotent, false; "non-idempotent work ends at once")]
