Log and count what keeps an entry from sending ahead of its reports

The refusal of a request by its workspace's limit named the state and the age of the owner's last answer, but not the requests that may be sent ahead, what last set their number, or whether an answer is awaited; changes of a member's health had no line, and refused requests were counted for no workspace. Added to the line, a counter limit_refusals by what last set the number, the outcome limit in workspace_calls, and the line 'health of the member changed'. No decision changed.

--- a/pistachiolane/src/limits/shared/account.rs
+++ b/pistachiolane/src/limits/shared/account.rs
@@ -1,7 +1,7 @@
 //! What an entry may spend of one limit, read and changed on the path of requests.
 
 use {
-    super::status::LimitState,
+    super::{ahead_source::AheadSource, status::LimitState},
     crate::{config::WorkspaceLimit, limits::retry_after, tick::Tick},
     rand::Rng,
     std::{
@@ -70,6 +70,9 @@
     owner: AtomicU64,
     state: AtomicU8,
     answered_at: AtomicU64,
+    /// Time in microseconds of the first report that the owner has not answered; 0 if there is none.
+    waiting_since: AtomicU64,
+    ahead_source: AtomicU8,
 }
 
 record! {
@@ -81,6 +84,10 @@
         pub state: LimitState,
         /// Granted tokens that are left.
         pub level: i64,
+        /// Requests that may be sent ahead of a report.
+        pub ahead: i64,
+        /// What last set that number.
+        pub ahead_source: AheadSource,
         /// Tokens granted since the start of the process.
         pub granted: u64,
         /// Tokens spent since the start of the process.
@@ -89,6 +96,8 @@
         pub refused: u64,
         /// Time since the owner's last answer, if there was one.
         pub answer_age: Option<Duration>,
+        /// Time for which the owner has left a report unanswered.
+        pub silence: Duration,
     }
 }
 
@@ -130,26 +139,60 @@
         self.is_urgent.load(Ordering::Acquire)
     }
 
+    /// Sets the number of requests that may be sent ahead of a report.
+    pub(super) fn set_ahead(&self, ahead: i64, source: AheadSource) {
+        self.ahead.store(ahead, Ordering::Release);
+        self.ahead_source.store(source as u8, Ordering::Relaxed);
+    }
+
+    /// Allows `more` requests ahead of a report.
+    pub(super) fn add_ahead(&self, more: i64, source: AheadSource) {
+        self.ahead.fetch_add(more, Ordering::AcqRel);
+        self.ahead_source.store(source as u8, Ordering::Relaxed);
+    }
+
+    /// Lowers the number of requests that may be sent ahead of a report to `most`.
+    pub(super) fn limit_ahead(&self, most: i64, source: AheadSource) {
+        if self.ahead.fetch_min(most, Ordering::AcqRel) > most {
+            self.ahead_source.store(source as u8, Ordering::Relaxed);
+        }
+    }
+
     /// Records the state for log lines.
-    pub(super) fn publish(&self, owner: Option<u64>, state: LimitState, answered_at: Option<Tick>) {
+    pub(super) fn publish(
+        &self,
+        owner: Option<u64>,
+        state: LimitState,
+        answered_at: Option<Tick>,
+        waiting_since: Option<Tick>,
+    ) {
+        let micros = |at: Option<Tick>| at.map_or(0, |at| at.0);
         self.owner.store(owner.unwrap_or(0), Ordering::Relaxed);
         self.state.store(state as u8, Ordering::Relaxed);
-        self.answered_at.store(answered_at.map_or(0, |at| at.0), Ordering::Relaxed);
+        self.answered_at.store(micros(answered_at), Ordering::Relaxed);
+        self.waiting_since.store(micros(waiting_since), Ordering::Relaxed);
     }
 
     /// Returns the state, as of the last step.
     pub fn snapshot(&self, now: Tick) -> AccountSnapshot {
         let states = [LimitState::Unknown, LimitState::Open, LimitState::Metered];
         let state = usize::from(self.state.load(Ordering::Relaxed));
-        let answered_at = Tick(self.answered_at.load(Ordering::Relaxed));
+        let source = usize::from(self.ahead_source.load(Ordering::Relaxed));
+        let age = |micros: &AtomicU64| {
+            let at = Tick(micros.load(Ordering::Relaxed));
+            (at > Tick(0)).then(|| now.since(at))
+        };
         AccountSnapshot {
             owner: self.owner.load(Ordering::Relaxed),
             state: states.get(state).copied().unwrap_or(LimitState::Silent),
             level: self.held.load(Ordering::Relaxed),
+            ahead: self.ahead.load(Ordering::Relaxed),
+            ahead_source: AheadSource::from_index(source),
             granted: self.granted.load(Ordering::Relaxed),
             spent: self.spent.load(Ordering::Relaxed),
             refused: self.refused.load(Ordering::Relaxed),
-            answer_age: (answered_at > Tick(0)).then(|| now.since(answered_at)),
+            answer_age: age(&self.answered_at),
+            silence: age(&self.waiting_since).unwrap_or_default(),
         }
     }
 
--- a/pistachiolane/src/limits/shared/entry_side.rs
+++ b/pistachiolane/src/limits/shared/entry_side.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         account::LimitAccount,
+        ahead_source::AheadSource,
         bounds::{
             ANSWER_TIMEOUT, FULL_SHARE_TIME, GRANT_LIFETIME, HOLD_TIME, IDLE_INTERVAL,
             MIN_HOLD_RATE, RESEND_AFTER, URGENT_INTERVAL,
@@ -69,7 +70,7 @@
 impl EntrySide {
     /// Creates the side of an entry that knows nothing of the limit and may send `ahead` requests.
     pub fn new(now: Tick, id: u64, account: Arc<LimitAccount>, ahead: i64) -> Self {
-        account.ahead.store(ahead, Ordering::Release);
+        account.set_ahead(ahead, AheadSource::Start);
         Self {
             id,
             account,
@@ -101,7 +102,7 @@
         self.prefetches = prefetches;
         if self.owner != owner {
             if is_lost && self.answered_at.is_some() {
-                self.account.ahead.fetch_min(1, Ordering::AcqRel);
+                self.account.limit_ahead(1, AheadSource::OwnerLost);
             }
             self.owner = owner;
             self.pending = None;
@@ -132,7 +133,7 @@
     pub fn discard(&mut self) {
         self.account.held_until.store(0, Ordering::Release);
         self.account.held.store(0, Ordering::Release);
-        self.account.ahead.fetch_min(1, Ordering::AcqRel);
+        self.account.limit_ahead(1, AheadSource::Pause);
     }
 
     /// Advances the estimates, lets tokens expire and, while the owner is silent, allows the share. `equal_rate` is
@@ -154,14 +155,15 @@
         // All entries stop sending ahead, not only those that have an unanswered report.
         let was_suspect = std::mem::replace(&mut self.is_suspect, is_suspect);
         if is_suspect && !was_suspect && self.answered_at.is_some() {
-            self.account.ahead.store(0, Ordering::Release);
+            self.account.set_ahead(0, AheadSource::Suspicion);
         }
         let was_silent = std::mem::replace(&mut self.is_silent, silence >= ANSWER_TIMEOUT);
         if self.is_silent && !was_silent && self.answered_at.is_some() {
-            self.account.ahead.store(0, Ordering::Release);
+            self.account.set_ahead(0, AheadSource::Silence);
         }
         self.account.low.store(self.target() / 2, Ordering::Relaxed);
-        self.account.publish(self.owner, self.state(now), self.answered_at);
+        let state = self.state(now);
+        self.account.publish(self.owner, state, self.answered_at, self.waiting_since);
         if silence >= ANSWER_TIMEOUT || is_suspect || self.answered_at.is_none() {
             self.allow_share(elapsed, silence, equal_rate);
         }
@@ -179,7 +181,7 @@
         let whole = self.share_credit.floor();
         if whole >= 1.0 && self.account.ahead.load(Ordering::Acquire) < most as i64 {
             self.share_credit -= whole;
-            self.account.ahead.fetch_add(whole as i64, Ordering::AcqRel);
+            self.account.add_ahead(whole as i64, AheadSource::Share);
         }
     }
 
@@ -249,10 +251,10 @@
         if answer.sequence == 0 {
             let ahead = i64::from(answer.ahead);
             if self.waiting_since.is_none() {
-                self.account.ahead.store(ahead, Ordering::Release);
+                self.account.set_ahead(ahead, AheadSource::Notice);
             } else {
                 // The answer to the report on the way accounts for what was spent.
-                self.account.ahead.fetch_min(ahead, Ordering::AcqRel);
+                self.account.limit_ahead(ahead, AheadSource::Notice);
             }
             return;
         }
@@ -275,7 +277,7 @@
             account.held.fetch_add(i64::from(answer.granted), Ordering::AcqRel);
             account.granted.fetch_add(u64::from(answer.granted), Ordering::Relaxed);
         }
-        account.ahead.store(i64::from(answer.ahead), Ordering::Release);
+        account.set_ahead(i64::from(answer.ahead), AheadSource::Answer);
     }
 
     /// Returns the tokens that the entry should hold for its demand.
--- a/pistachiolane/src/limits/shared/mod.rs
+++ b/pistachiolane/src/limits/shared/mod.rs
@@ -6,6 +6,7 @@
 //! and the rate that it keeps while its owner is silent go beyond that, and both are bounded.
 
 mod account;
+mod ahead_source;
 mod bounds;
 mod bucket;
 mod entry_side;
@@ -17,6 +18,7 @@
 
 pub use {
     account::{AccountSnapshot, LimitAccount, LimitTable, Take},
+    ahead_source::AheadSource,
     bucket::Bucket,
     entry_side::EntrySide,
     fleet_view::{FleetView, LimitMember},
--- a/pistachiolane/src/membership/members.rs
+++ b/pistachiolane/src/membership/members.rs
@@ -761,6 +761,7 @@
         }
         if let Some(known) = known {
             invariant!(record.revision >= known.record.revision, "member_revision_never_falls");
+            log_health_change(&known.record, &record);
         }
         let revived = known.is_some_and(|m| m.record.health == Health::Dead);
         if revived && record.health == Health::Alive {
@@ -805,3 +806,15 @@
         self.sequence
     }
 }
+
+/// Logs a change of a member's health, as other tasks choose owners and upstreams by it.
+fn log_health_change(known: &MemberRecord, new: &MemberRecord) {
+    if known.health != new.health {
+        log::info!(
+            target: "membership", node = format!("{:016x}", new.node).as_str(),
+            control = new.control.to_string().as_str(), from = known.health.to_string().as_str(),
+            to = new.health.to_string().as_str(), revision = new.revision;
+            "health of the member changed"
+        );
+    }
+}
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -144,7 +144,7 @@
 impl WorkspaceMetrics {
     fn register(registry: &mut Registry) -> Self {
         let metrics = Self::default();
-        let help = "Calls of callers with a key, by workspace and outcome";
+        let help = "Calls of callers with a key, by workspace and outcome; those that its limit refused have the outcome limit";
         registry.register("workspace_calls", help, metrics.calls.clone());
         metrics
     }
@@ -306,6 +306,9 @@
     /// Requests checked against the limit of a workspace, by result: granted, ahead of a report or refused; and tokens
     /// returned by requests that were not run, and taken by further attempts.
     limit_checks: Cases,
+    /// Requests refused by the limit of a workspace, by what last set the number of requests that may be sent ahead of
+    /// a report: with `suspicion`, `silence`, `owner-lost` or `pause`, the entry has not heard the owner since.
+    limit_refusals: Cases,
     /// Limits that this node owns.
     limits_owned: Gauge,
     /// Invariant violations since the process started.
--- a/pistachiolane/src/node/entry/limit_check.rs
+++ b/pistachiolane/src/node/entry/limit_check.rs
@@ -54,6 +54,8 @@
             }));
         };
         let seen = account.snapshot(now);
+        Metrics::count(&shared.metrics.limit_refusals, seen.ahead_source.name());
+        shared.metrics.workspaces.count(&workspace.name, "limit");
         // -1 if the owner has not answered yet.
         let age_ms = seen.answer_age.map_or(-1, |age| age.as_millis() as i64);
         log::info!(
@@ -61,8 +63,8 @@
             limit = workspace.limit.map_or(0.0, |l| l.requests_per_second),
             burst = workspace.limit.map_or(0.0, |l| l.burst),
             owner = format!("{:016x}", seen.owner).as_str(), state = seen.state.name(),
-            level = seen.level, granted = seen.granted, spent = seen.spent,
-            refused = seen.refused, answer_age_ms = age_ms,
+            level = seen.level, ahead = seen.ahead, ahead_set_by = seen.ahead_source.name(), granted = seen.granted, spent = seen.spent,
+            refused = seen.refused, answer_age_ms = age_ms, waiting_ms = seen.silence.as_millis() as u64,
             retry_after_ms = retry_after.as_millis() as u64, outcome = "refused";
             "limit of the workspace reached"
         );
