--- a/pistachiolane/tests/shared_limits.rs
+++ b/pistachiolane/tests/shared_limits.rs
@@ -239,6 +239,44 @@
     });
 }
 
+/// Guards against entries that stop sending ahead while the owner is suspected, and are told nothing once it is back:
+/// the owner pauses for less time than it takes to count it as dead, and what is within the limit is admitted after.
+#[test_case(0.6; "at usual load")]
+#[test_case(3.0; "in a flood")]
+fn owner_pauses(during: f64) {
+    for_seeds(6, |fleet, rate| {
+        let load = |factor: f64| move |host, _: f64| Spread::Even.at(host, factor * rate);
+        fleet.run(secs(3.0), load(during));
+        let owner = fleet.owner();
+        fleet.freeze(owner, true);
+        fleet.run(secs(1.2), load(during));
+        fleet.freeze(owner, false);
+        check_settled_load(fleet, rate)
+    });
+}
+
+/// Guards against entries that miss the message that the bucket is open again, after which nothing is sent to them: half of all
+/// packets are lost while a flood ends.
+#[test]
+fn reopening_lost() {
+    for_seeds(6, |fleet, rate| {
+        fleet.run(secs(4.0), |host, _| Spread::Even.at(host, 3.0 * rate));
+        fleet.loss = 0.5;
+        fleet.run(secs(3.0), |_, _| 0.0);
+        fleet.loss = 0.0;
+        check_settled_load(fleet, rate)
+    });
+}
+
+/// Runs the usual load after a disturbance that has ended; from a second on, requires what the limit allows.
+fn check_settled_load(fleet: &mut Fleet, rate: f64) -> Result<(), String> {
+    let load = move |host, _: f64| Spread::Even.at(host, 0.6 * rate);
+    fleet.run(secs(1.0), load);
+    fleet.counts.clear();
+    fleet.run(secs(20.0), load);
+    check_admitted(fleet)
+}
+
 /// Counts messages and bytes of control for docs/CAPACITY.md: each limit alone, so the sum over limits is an upper
 /// bound, without what batches save. 60 nodes, 72 limits, 10 requests/s a node.
 #[test]
