An entry that may send nothing asks the limit's owner again

Cause: what an entry may send ahead of its reports is told by the owner, in answers and in messages that are sent once, when the bucket opens or closes. An entry also sets it to zero by itself, when the owner is suspected to be dead. An entry of few requests holds no tokens and reports only what it spent; with nothing to send ahead it spends nothing, so it never asked again, and a full bucket has no change to tell. A suspicion that was refuted, a lost message, or an owner that paused and forgot its entries thus refused a workspace for good.

Change: an entry asks again while the owner is suspected or after a pause of its own, and whenever it may send nothing and has not heard the owner for 1.5 s; in a fleet too large for questions ahead of requests, a refused request is the reason to ask.

--- a/pistachiolane/src/limits/shared/bounds.rs
+++ b/pistachiolane/src/limits/shared/bounds.rs
@@ -22,9 +22,14 @@
 /// Time between two reports of an entry that runs out of tokens.
 pub const URGENT_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time between two reports of an entry without anything new, while it has a share or has not heard the owner.
+/// Time between two reports of an entry without anything new, while it has a share, has not heard the owner or may send
+/// nothing.
 pub const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time without a message of the owner after which an entry that may send nothing asks for the state; longer than
+/// [`REOPEN_INTERVAL_S`], because a limit that is in use opens and closes in turn.
+pub const MESSAGE_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Time without a report after which the owner debits the share of an entry that has one.
 pub const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 
--- a/pistachiolane/src/limits/shared/entry_side.rs
+++ b/pistachiolane/src/limits/shared/entry_side.rs
@@ -6,7 +6,7 @@
         ahead_source::AheadSource,
         bounds::{
             ANSWER_TIMEOUT, FULL_SHARE_TIME, GRANT_LIFETIME, HOLD_TIME, IDLE_INTERVAL,
-            MIN_HOLD_RATE, RESEND_AFTER, URGENT_INTERVAL,
+            MESSAGE_PATIENCE, MIN_HOLD_RATE, RESEND_AFTER, URGENT_INTERVAL,
         },
         status::LimitState,
     },
@@ -47,6 +47,8 @@
     recorded: i64,
     last_sent_at: Option<Tick>,
     answered_at: Option<Tick>,
+    /// Time of the owner's last message, an answer or an unsolicited change.
+    heard_at: Option<Tick>,
     /// Time of the first report that the owner has not answered.
     waiting_since: Option<Tick>,
     /// Whether the owner's last word allows requests ahead of reports.
@@ -81,6 +83,7 @@
             recorded: 0,
             last_sent_at: None,
             answered_at: None,
+            heard_at: None,
             waiting_since: None,
             is_open: false,
             is_suspect: false,
@@ -108,9 +111,7 @@
             self.pending = None;
             self.last_sent_at = None;
             self.recorded = 0;
-            if prefetches && self.answered_at.is_some() {
-                self.waiting_since.get_or_insert(now);
-            }
+            self.ask_again(now);
         }
     }
 
@@ -130,10 +131,18 @@
     }
 
     /// Discards all tokens, as after a pause in which others may have been granted them.
-    pub fn discard(&mut self) {
+    pub fn discard(&mut self, now: Tick) {
         self.account.held_until.store(0, Ordering::Release);
         self.account.held.store(0, Ordering::Release);
         self.account.limit_ahead(1, AheadSource::Pause);
+        self.ask_again(now);
+    }
+
+    /// Has the entry ask the owner for the state until it answers, if it does so without a request.
+    fn ask_again(&mut self, now: Tick) {
+        if self.prefetches && self.answered_at.is_some() {
+            self.waiting_since.get_or_insert(now);
+        }
     }
 
     /// Advances the estimates, lets tokens expire and, while the owner is silent, allows the share. `equal_rate` is
@@ -156,6 +165,7 @@
         let was_suspect = std::mem::replace(&mut self.is_suspect, is_suspect);
         if is_suspect && !was_suspect && self.answered_at.is_some() {
             self.account.set_ahead(0, AheadSource::Suspicion);
+            self.ask_again(now);
         }
         let was_silent = std::mem::replace(&mut self.is_silent, silence >= ANSWER_TIMEOUT);
         if self.is_silent && !was_silent && self.answered_at.is_some() {
@@ -204,16 +214,21 @@
         let wanted = self.wanted(held);
         let since = self.last_sent_at.map_or(Duration::MAX, |at| now.since(at));
         // Rare requests are reported one by one in any case; at once, the owner knows them earlier.
-        let interval = if self.target() == 0 { URGENT_INTERVAL } else { interval };
+        let news_interval = if self.target() == 0 { URGENT_INTERVAL } else { interval };
         let has_expired = held == 0 && self.recorded > 0;
         let has_news =
             spent != self.acknowledged || wanted > 0 || has_expired || self.pending.is_some();
         let is_idle_due = self.share > 0.0
             || (self.prefetches && (self.answered_at.is_none() || self.waiting_since.is_some()));
+        // The message that opens the limit again may be lost, or the owner may not know this entry any more.
+        let is_closed = held == 0 && account.ahead.load(Ordering::Acquire) <= 0;
+        let is_unheard = self.heard_at.is_none_or(|at| now.since(at) >= MESSAGE_PATIENCE);
+        let asks_again = is_closed && is_unheard && (self.prefetches || account.is_urgent());
         let is_urgent = account.is_urgent() && (spent != self.acknowledged || wanted > 0);
         let is_due = (is_urgent && since >= URGENT_INTERVAL)
-            || (has_news && since >= interval)
-            || (is_idle_due && since >= IDLE_INTERVAL);
+            || (has_news && since >= news_interval)
+            || (is_idle_due && since >= IDLE_INTERVAL)
+            || (asks_again && since >= IDLE_INTERVAL.max(interval));
         let renews = held > 0 && since >= self.renewal_time();
         if !is_due && !renews {
             return None;
@@ -247,6 +262,7 @@
         if self.owner != Some(from) {
             return;
         }
+        self.heard_at = Some(now);
         self.is_open = answer.ahead > 0;
         if answer.sequence == 0 {
             let ahead = i64::from(answer.ahead);
--- a/pistachiolane/src/limits/shared/shared_limits.rs
+++ b/pistachiolane/src/limits/shared/shared_limits.rs
@@ -318,7 +318,7 @@
     /// Discards all tokens: after a pause, other nodes may have taken over.
     fn discard(&mut self, now: Tick) {
         for limit in self.limits.values_mut() {
-            limit.entry.discard();
+            limit.entry.discard(now);
             if let Some(ownership) = &mut limit.ownership {
                 ownership.since = now;
                 ownership.bucket = None;
