A bucket that is rebuilt after a pause counts the fill of the pause

After the owner of a limit stood still for 1.2 s, requests within the limit were refused for up to 2.4 s more.

Cause: after a pause the owner discards its bucket and waits a second. Entries send their shares meanwhile and report them to the new bucket, which charged them (-1,328 tokens at 1,500/s) but began its fill at its own start, as if the limit had had no rate in between.

Change: the fill of the pause pays for what entries report as spent in it, and for nothing else, so that it can't be granted.

--- a/pistachiolane/src/limits/shared/bounds.rs
+++ b/pistachiolane/src/limits/shared/bounds.rs
@@ -96,6 +96,9 @@
 /// tokens, although they had spent them and not reported it yet.
 pub const MAX_DEFERRED_FILL: Duration = Duration::from_millis(100);
 
+/// Longest time without a bucket of a limit whose fill pays for what entries spent meanwhile.
+pub const MAX_ARREARS_TIME: Duration = Duration::from_secs(3);
+
 /// Most of an entry's average rate that its share is.
 pub const MAX_SHARE_FACTOR: f64 = 1.5;
 
--- a/pistachiolane/src/limits/shared/bucket.rs
+++ b/pistachiolane/src/limits/shared/bucket.rs
@@ -2,9 +2,9 @@
 
 use {
     super::bounds::{
-        GRANT_LIFETIME, MAX_AHEAD, MAX_DEFERRED_FILL, MAX_SHARE_FACTOR, MIN_AHEAD, MIN_SHARE,
-        REOPEN_INTERVAL_S, RESEND_AFTER, SILENT_AFTER, YOUNG_TIME, first_fill, metered_below,
-        spare,
+        GRANT_LIFETIME, MAX_AHEAD, MAX_ARREARS_TIME, MAX_DEFERRED_FILL, MAX_SHARE_FACTOR,
+        MIN_AHEAD, MIN_SHARE, REOPEN_INTERVAL_S, RESEND_AFTER, SILENT_AFTER, YOUNG_TIME,
+        first_fill, metered_below, spare,
     },
     crate::{
         config::WorkspaceLimit,
@@ -50,6 +50,8 @@
     entries: HashMap<u64, EntryRecord>,
     /// Fill that had no room, up to [`MAX_DEFERRED_FILL`].
     deferred: f64,
+    /// Fill of the time in which the limit had no bucket. It pays only for what entries spent in that time.
+    arrears: f64,
     is_open: bool,
     /// Requests ahead of a report that entries were last told in unsolicited answers.
     told_ahead: u32,
@@ -79,6 +81,7 @@
             filled_at: now,
             entries: HashMap::new(),
             deferred: 0.0,
+            arrears: 0.0,
             is_open,
             told_ahead: if is_open { MIN_AHEAD } else { 0 },
             told_at: now,
@@ -88,6 +91,12 @@
         }
     }
 
+    /// Pays what entries spent during `time`, in which the limit had no bucket, from the fill of that time.
+    pub fn with_arrears(self, time: Duration, part: f64) -> Self {
+        let time = time.min(MAX_ARREARS_TIME);
+        Self { arrears: self.rate(part) * time.as_secs_f64(), ..self }
+    }
+
     /// Puts a changed rate and burst in force.
     pub fn set_limit(&mut self, limit: WorkspaceLimit) {
         self.limit = limit;
@@ -157,6 +166,7 @@
     pub fn on_report(&mut self, now: Tick, from: u64, report: &LimitReport) -> Option<LimitAnswer> {
         let held = f64::from(report.held);
         let limit = self.limit;
+        let is_first = !self.entries.contains_key(&from);
         let entry = self.entries.entry(from).or_insert_with(|| EntryRecord {
             sequence: 0,
             spent: report.acknowledged,
@@ -179,6 +189,11 @@
         self.active += usize::from(!was_active && spent > 0.0);
         // What the entry neither spent nor holds comes back, what it spent ahead is debited.
         self.free += entry.outstanding + entry.reserved - spent - held;
+        if is_first && now.since(self.created_at) < YOUNG_TIME {
+            let paid = spent.clamp(0.0, self.arrears);
+            self.arrears -= paid;
+            self.free += paid;
+        }
         entry.reserved = 0.0;
         entry.sequence = report.sequence;
         entry.spent = report.spent;
--- a/pistachiolane/src/limits/shared/shared_limits.rs
+++ b/pistachiolane/src/limits/shared/shared_limits.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct Ownership {
     since: Tick,
+    /// Start of the pause of this process in which no bucket was filled.
+    paused_at: Option<Tick>,
     /// `None` while the node is silent because another may still act as the owner.
     bucket: Option<Bucket>,
     /// End of the time in which the node is the owner although its own list names another.
@@ -63,7 +65,22 @@
 
 impl Ownership {
     fn new(now: Tick) -> Self {
-        Self { since: now, bucket: None, handed_until: None, drains_until: None, transfer: None }
+        Self {
+            since: now,
+            paused_at: None,
+            bucket: None,
+            handed_until: None,
+            drains_until: None,
+            transfer: None,
+        }
+    }
+
+    /// Discards the bucket, as after a pause that began at `paused_at`, and waits as a new owner does.
+    fn discard_bucket(&mut self, now: Tick, paused_at: Tick) {
+        self.since = now;
+        if self.bucket.take().is_some() {
+            self.paused_at = Some(paused_at);
+        }
     }
 }
 
@@ -206,10 +223,9 @@
     /// Advances all limits to `now`; returns the packets to send. Expected every 20 to 50 ms, and when an account
     /// is urgent.
     pub fn step(&mut self, now: Tick) -> Vec<Outgoing> {
-        let is_after_pause = now.since(self.stepped_at) >= PAUSE_THRESHOLD;
-        self.stepped_at = now;
-        if is_after_pause {
-            self.discard(now);
+        let stepped_at = std::mem::replace(&mut self.stepped_at, now);
+        if now.since(stepped_at) >= PAUSE_THRESHOLD {
+            self.discard(now, stepped_at);
         }
         let ended = |o: &Ownership| o.handed_until.is_some_and(|until| now >= until);
         if self.limits.values().any(|l| l.ownership.as_ref().is_some_and(ended)) {
@@ -243,7 +259,10 @@
                     && now.since(ownership.since) >= TAKEOVER_DELAY
                 {
                     log::info!(target: "limits", limit = &*limit.rule.name; "limit taken over");
-                    ownership.bucket = Some(Bucket::new(now, *id, limit.rule.limit, part));
+                    let paused_at = ownership.paused_at.take();
+                    let unfilled = paused_at.map_or(Duration::ZERO, |at| now.since(at));
+                    let bucket = Bucket::new(now, *id, limit.rule.limit, part);
+                    ownership.bucket = Some(bucket.with_arrears(unfilled, part));
                 }
                 if let Some(bucket) = &mut ownership.bucket {
                     bucket.advance(now, part, |node| self.fleet.get(node).is_some());
@@ -316,12 +335,11 @@
     }
 
     /// Discards all tokens: after a pause, other nodes may have taken over.
-    fn discard(&mut self, now: Tick) {
+    fn discard(&mut self, now: Tick, paused_at: Tick) {
         for limit in self.limits.values_mut() {
             limit.entry.discard(now);
             if let Some(ownership) = &mut limit.ownership {
-                ownership.since = now;
-                ownership.bucket = None;
+                ownership.discard_bucket(now, paused_at);
             }
         }
     }
