--- a/pistachiolane/src/limits/shared/bucket.rs
+++ b/pistachiolane/src/limits/shared/bucket.rs
@@ -92,6 +92,7 @@
     }
 
     /// Pays what entries spent during `time`, in which the limit had no bucket, from the fill of that time.
+    #[must_use]
     pub fn with_arrears(self, time: Duration, part: f64) -> Self {
         let time = time.min(MAX_ARREARS_TIME);
         Self { arrears: self.rate(part) * time.as_secs_f64(), ..self }
