A connection that carried an upstream's refusal is not kept

Change: the gate closes a connection after a refusal, so no earlier refusal can arrive on a kept one.

Tests: repeated_refusal_refuses_no_other_request failed without an id and passes; with an id it passed before.

--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -54,7 +54,9 @@
 /// Upstream that speaks the platform's protocol.
 ///
 /// The last segment of the request path selects its behaviour: `foreign` (mismatched response), `unsigned`, `cut`,
-/// `extra`, `reset`, `unframed`, `shed`, `slow`, `large` or `crash` (the upstream ends), or, for bytes until the node closes the connection,
+/// `extra`, `reset`, `unframed`, `shed`, `shed-again` and `shed-again-named` (a refusal, without and with the request's id, that is
+/// written once more when the next request arrives), `cut-head-N` (only N bytes of the response's head), `slow`, `large` or `crash` (the
+/// upstream ends), or, for bytes until the node closes the connection,
 /// `endless-head`, `endless-noise`, `endless-unsigned`, `endless-body` or `endless-extra`; any other segment gets a
 /// valid response.
 #[derive(Debug)]
@@ -221,6 +223,7 @@
         if open_before >= self.capacity.max_connections {
             return socket.set_zero_linger();
         }
+        let mut written_again = None;
         while let Some(mut req) = read_request(&mut socket).await? {
             req.at = self.started.elapsed();
             let expected = req.headers.get("x-pistachiolane-expect-instance");
@@ -235,11 +238,16 @@
                 continue;
             }
             let action = req.line.rsplit('/').next().unwrap_or("").to_owned();
-            if action == "shed" {
-                send_not_executed(&mut socket).await?;
+            let id = req.headers.get(PLATFORM_REQUEST_ID).cloned().unwrap_or_default();
+            if action.starts_with("shed") {
+                let refusal = not_executed(action.ends_with("named").then_some(&*id));
+                socket.write_all(&refusal).await?;
+                written_again = (action != "shed").then_some(refusal);
                 continue;
             }
-            let id = req.headers.get(PLATFORM_REQUEST_ID).cloned().unwrap_or_default();
+            if let Some(refusal) = written_again.take() {
+                socket.write_all(&refusal).await?;
+            }
             let fixed_time = (action == "slow").then_some(SLOW_SERVICE_TIME);
             match self.run_request(&mut socket, req, fixed_time).await {
                 WorkResult::Done => {}
@@ -284,6 +292,11 @@
                     socket.write_all(&valid).await?;
                 }
                 "reset" => return Ok(()),
+                cut if cut.starts_with("cut-head-") => {
+                    let length = cut.trim_start_matches("cut-head-").parse().unwrap_or(0);
+                    socket.write_all(&valid[..length]).await?;
+                    return Ok(());
+                }
                 "crash" => {
                     self.stop();
                     return Ok(());
@@ -369,7 +382,7 @@
     /// Applies `Capacity::when_full`; returns whether the connection stays usable.
     async fn apply_when_full(&self, socket: &mut TcpStream) -> std::io::Result<bool> {
         match self.capacity.when_full {
-            WhenFull::Refuse => send_not_executed(socket).await?,
+            WhenFull::Refuse => socket.write_all(&not_executed(None)).await?,
             WhenFull::Reset => socket.set_zero_linger()?,
             WhenFull::Hang => wait_closed(socket).await,
         }
@@ -405,10 +418,11 @@
     }
 }
 
-/// Sends a response with the header that marks the request as not executed.
-async fn send_not_executed(socket: &mut TcpStream) -> std::io::Result<()> {
-    let head = "x-pistachiolane-not-executed: 1";
-    socket.write_all(&response("503 Service Unavailable", head, "")).await
+/// Returns a response with the header that marks the request as not executed, and with the request's id if there is one.
+fn not_executed(id: Option<&str>) -> Vec<u8> {
+    let id = id.map_or_else(String::new, |id| format!("\r\n{PLATFORM_REQUEST_ID}: {id}"));
+    let head = format!("x-pistachiolane-not-executed: 1{id}");
+    response("503 Service Unavailable", &head, "")
 }
 
 /// Waits until the peer closes the connection or sends an unexpected byte.
--- /dev/null
+++ b/lab/tests/platform_faulty_upstreams.rs
@@ -0,0 +1,51 @@
+//! Upstreams that write a refusal twice, or only a part of a response's head.
+
+mod common;
+
+use {
+    common::{TestHost, ready_host, status_code},
+    lab::stand_in::PLATFORM_REQUEST_ID,
+    test_case::test_case,
+};
+
+fn runs_of(host: &TestHost, id: &str) -> usize {
+    host.upstream.executed().iter().filter(|r| r.headers[PLATFORM_REQUEST_ID] == id).count()
+}
+
+/// Guards against a refusal that an upstream writes once more on a kept connection, and that is taken for the answer to the
+/// next request: its caller was told that the request, which ran, did not.
+#[test_case("shed-again"; "without an id")]
+#[test_case("shed-again-named"; "with the id of the refused request")]
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_refusal_refuses_no_other_request(behaviour: &str) {
+    let host = ready_host().await;
+    for n in 0..5 {
+        let path = format!("/sizing/{behaviour}");
+        assert_eq!(status_code(&host.send_request("GET", &path, &format!("a{n}")).await), 503);
+        let id = format!("b{n}");
+        let response = host.send_request("POST", "/orders/ok", &id).await;
+        let is_refused = matches!(status_code(&response), 408 | 421 | 429 | 503);
+        let runs = runs_of(&host, &id);
+        assert!(runs <= 1 && !(is_refused && runs > 0), "{runs} runs, {response}");
+    }
+}
+
+/// Guards against a response whose head ends early and that reaches the caller as a complete one. The cuts are within the status line,
+/// between headers, within the length, before the end of the head, and, with 165 bytes, in the body.
+#[test_case("GET", "sizing")]
+#[test_case("POST", "orders")]
+#[tokio::test(flavor = "multi_thread")]
+async fn response_with_a_cut_head_is_not_complete(method: &str, route: &str) {
+    let host = ready_host().await;
+    let whole = host.send_request("GET", "/sizing/ok", "a").await;
+    assert_eq!(status_code(&whole), 200);
+    for length in [0, 9, 15, 17, 40, 60, 100, 130, 140, 150, 160, 165] {
+        // On a kept connection and on a new one.
+        for n in 0..2 {
+            let path = format!("/{route}/cut-head-{length}");
+            let response = host.send_request(method, &path, &format!("c{length}-{n}")).await;
+            assert!(matches!(status_code(&response), 502 | 504), "{length} bytes: {response}");
+            assert_eq!(status_code(&host.send_request("GET", "/sizing/ok", "d").await), 200);
+        }
+    }
+}
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -362,7 +362,7 @@
         let gate = &shared.admission.gate;
         match result {
             Ok(Ok((res, connection))) => {
-                let mut pooled = PooledConnection { pool, connection: Some(connection) };
+                let pooled = PooledConnection { pool, connection: Some(connection) };
                 match self.classify_response(&res, request_id.as_ref(), &announced) {
                     ResponseKind::Response => {
                         let failed = res.status().is_server_error();
@@ -375,9 +375,9 @@
                     }
                     ResponseKind::NotRun(reason) => {
                         gate.observe(shared.now(), elapsed, false);
-                        if res.body().is_end_stream() {
-                            pooled.return_to_pool();
-                        }
+                        // Refusals need not name their request. Written once more on a kept connection, this one would be
+                        // taken for the answer to the next request.
+                        drop(pooled);
                         // An upstream that turns a request away is fuller than the slots in use here show.
                         guard.has_ended = reason != RefusalReason::Shed;
                         self.refuse_not_run(guard, attempt, reason)
