--- a/pistachiolane/src/node/entry/limit_check.rs
+++ b/pistachiolane/src/node/entry/limit_check.rs
@@ -63,8 +63,9 @@
             limit = workspace.limit.map_or(0.0, |l| l.requests_per_second),
             burst = workspace.limit.map_or(0.0, |l| l.burst),
             owner = format!("{:016x}", seen.owner).as_str(), state = seen.state.name(),
-            level = seen.level, ahead = seen.ahead, ahead_set_by = seen.ahead_source.name(), granted = seen.granted, spent = seen.spent,
-            refused = seen.refused, answer_age_ms = age_ms, waiting_ms = seen.silence.as_millis() as u64,
+            level = seen.level, ahead = seen.ahead, ahead_set_by = seen.ahead_source.name(),
+            granted = seen.granted, spent = seen.spent, refused = seen.refused,
+            answer_age_ms = age_ms, waiting_ms = seen.silence.as_millis() as u64,
             retry_after_ms = retry_after.as_millis() as u64, outcome = "refused";
             "limit of the workspace reached"
         );
