--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -263,66 +263,74 @@
                     return Ok(());
                 }
             }
-            let signed = self.with_statements(format!(
-                "{PLATFORM_REQUEST_ID}: {id}\r\nx-pistachiolane-response-signature: {id}.s\r\n\
-                 x-pistachiolane-server-load: {}",
-                self.load_header()
-            ));
-            let valid = response("200 OK", &signed, &format!("answer to {id}"));
-            match action.as_str() {
-                "foreign" => {
-                    let other = signed.replace(&id, "0000");
-                    socket.write_all(&response("200 OK", &other, "another's")).await?;
-                }
-                "unsigned" => {
-                    socket
-                        .write_all(&response(
-                            "200 OK",
-                            &format!("{PLATFORM_REQUEST_ID}: {id}"),
-                            "bare",
-                        ))
-                        .await?;
-                }
-                "cut" => {
-                    socket.write_all(&valid[..valid.len() - 3]).await?;
-                    return Ok(());
-                }
-                "extra" => {
-                    socket.write_all(&valid).await?;
-                    socket.write_all(&valid).await?;
-                }
-                "reset" => return Ok(()),
-                cut if cut.starts_with("cut-head-") => {
-                    let length = cut.trim_start_matches("cut-head-").parse().unwrap_or(0);
-                    socket.write_all(&valid[..length]).await?;
-                    return Ok(());
-                }
-                "crash" => {
-                    self.stop();
-                    return Ok(());
-                }
-                "unframed" => {
-                    let head =
-                        format!("HTTP/1.1 200 OK\r\n{signed}\r\nconnection: close\r\n\r\nbody");
-                    socket.write_all(head.as_bytes()).await?;
-                    return Ok(());
-                }
-                "large" => {
-                    let large = response("200 OK", &signed, &".".repeat(LARGE_BYTES));
-                    socket.write_all(&large).await.inspect_err(|_e| {
-                        self.cancelled.fetch_add(1, Ordering::SeqCst);
-                    })?;
-                }
-                endless if endless.starts_with("endless-") => {
-                    let start = start_without_end(endless, &id, &signed, &valid);
-                    self.write_without_end(&mut socket, &start).await?;
-                }
-                _ => socket.write_all(&valid).await?,
+            if !self.write_response(&mut socket, &action, &id).await? {
+                return Ok(());
             }
         }
         Ok(())
     }
 
+    /// Writes the response that the path segment `action` selects; returns whether the connection stays usable.
+    async fn write_response(
+        &self,
+        socket: &mut TcpStream,
+        action: &str,
+        id: &str,
+    ) -> std::io::Result<bool> {
+        let signed = self.with_statements(format!(
+            "{PLATFORM_REQUEST_ID}: {id}\r\nx-pistachiolane-response-signature: {id}.s\r\n\
+             x-pistachiolane-server-load: {}",
+            self.load_header()
+        ));
+        let valid = response("200 OK", &signed, &format!("answer to {id}"));
+        match action {
+            "foreign" => {
+                let other = signed.replace(id, "0000");
+                socket.write_all(&response("200 OK", &other, "another's")).await?;
+            }
+            "unsigned" => {
+                socket
+                    .write_all(&response("200 OK", &format!("{PLATFORM_REQUEST_ID}: {id}"), "bare"))
+                    .await?;
+            }
+            "cut" => {
+                socket.write_all(&valid[..valid.len() - 3]).await?;
+                return Ok(false);
+            }
+            "extra" => {
+                socket.write_all(&valid).await?;
+                socket.write_all(&valid).await?;
+            }
+            "reset" => return Ok(false),
+            cut if cut.starts_with("cut-head-") => {
+                let length = cut.trim_start_matches("cut-head-").parse().unwrap_or(0);
+                socket.write_all(&valid[..length]).await?;
+                return Ok(false);
+            }
+            "crash" => {
+                self.stop();
+                return Ok(false);
+            }
+            "unframed" => {
+                let head = format!("HTTP/1.1 200 OK\r\n{signed}\r\nconnection: close\r\n\r\nbody");
+                socket.write_all(head.as_bytes()).await?;
+                return Ok(false);
+            }
+            "large" => {
+                let large = response("200 OK", &signed, &".".repeat(LARGE_BYTES));
+                socket.write_all(&large).await.inspect_err(|_e| {
+                    self.cancelled.fetch_add(1, Ordering::SeqCst);
+                })?;
+            }
+            endless if endless.starts_with("endless-") => {
+                let start = start_without_end(endless, id, &signed, &valid);
+                self.write_without_end(socket, &start).await?;
+            }
+            _ => socket.write_all(&valid).await?,
+        }
+        Ok(true)
+    }
+
     async fn answer_health_check(&self, socket: &mut TcpStream) -> std::io::Result<()> {
         self.health_checks.fetch_add(1, Ordering::SeqCst);
         let head = self.with_statements(format!(
