The test of cut heads also cuts on a connection that carried no request

Its comment named kept and new connections, but a good request between the cuts left a kept one each time. A second cut now follows the first at once; all earlier assertions stay.

--- a/lab/tests/platform_faulty_upstreams.rs
+++ b/lab/tests/platform_faulty_upstreams.rs
@@ -40,11 +40,16 @@
     let whole = host.send_request("GET", "/sizing/ok", "a").await;
     assert_eq!(status_code(&whole), 200);
     for length in [0, 9, 15, 17, 40, 60, 100, 130, 140, 150, 160, 165] {
-        // On a kept connection and on a new one.
         for n in 0..2 {
             let path = format!("/{route}/cut-head-{length}");
-            let response = host.send_request(method, &path, &format!("c{length}-{n}")).await;
-            assert!(matches!(status_code(&response), 502 | 504), "{length} bytes: {response}");
+            // First on a connection kept from the last good response, then on one that carried no request.
+            for connection in ["k", "n"] {
+                // Ids of one length keep the cuts where they are.
+                let id = format!("{connection}{length}-{n}");
+                let response = host.send_request(method, &path, &id).await;
+                let is_failure = matches!(status_code(&response), 502 | 504);
+                assert!(is_failure, "{length} bytes, {connection}: {response}");
+            }
             assert_eq!(status_code(&host.send_request("GET", "/sizing/ok", "d").await), 200);
         }
     }
