--- a/review/harness.rs
+++ b/review/harness.rs
@@ -705,6 +705,8 @@
     pub running: AtomicU64,
     /// Header lines that all its answers carry.
     pub stated: Mutex<String>,
+    /// Whether bodies are read before the handler is called; otherwise the handler reads them.
+    reads_bodies: bool,
     handler: Box<Handler>,
 }
 
@@ -717,6 +719,19 @@
         service: &str,
         slots: u32,
         handler: Box<Handler>,
+    ) -> Arc<Self> {
+        Self::start_with(fleet, machine, id, service, slots, true, handler)
+    }
+
+    /// Starts an upstream; its handler reads the bodies of requests itself if `reads_bodies` is `false`.
+    pub fn start_with(
+        fleet: &Fleet,
+        machine: &Machine,
+        id: &str,
+        service: &str,
+        slots: u32,
+        reads_bodies: bool,
+        handler: Box<Handler>,
     ) -> Arc<Self> {
         let listener = TcpListener::bind(free_address()).unwrap();
         let upstream = Arc::new(Self {
@@ -727,6 +742,7 @@
             record: Arc::clone(&fleet.record),
             running: AtomicU64::new(0),
             stated: Mutex::default(),
+            reads_bodies,
             handler,
         });
         let serving = Arc::clone(&upstream);
@@ -763,7 +779,8 @@
 
     fn serve(&self, mut http: Http) {
         loop {
-            let Ok(Some(req)) = http.read() else {
+            let read = if self.reads_bodies { http.read() } else { http.read_head() };
+            let Ok(Some(req)) = read else {
                 return;
             };
             if req.path() == "/health" {
