--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,139 +1,155 @@
-//! An upstream answers uploads before it has read them whole, keeps the connection and reads on later. The node closes
-//! that connection as soon as another request comes, and the rest of the upload is lost though its client got a success.
+//! The store rejects those three machines of a region that watch the configuration for all, by silence, and serves the
+//! others. A change of that time reaches no machine until long after the store serves all of them again.
+//!
+//! With `REJECT=503` the store answers 503 instead, for 9 s; then the bound for an unstable core is checked.
 
 #[path = "../harness.rs"]
 mod harness;
 
-use harness::{Fleet, Http, Message, Upstream, configuration, ms, request, trouble};
+use harness::{Fleet, Http, Message, Upstream, ms, request, trouble, versioned_configuration};
 use std::{
-    collections::HashMap,
-    io::{self, Write},
-    sync::{Arc, Mutex},
+    io::Write,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
+    time::Duration,
 };
 
-/// Bytes of an upload, far below `max_body_bytes`.
-const UPLOAD_BYTES: usize = 6_000_000;
+/// Machines of the region, each with one upstream.
+const MACHINES: usize = 9;
 
-/// Clients, each of which sends uploads one after the other, and the uploads of each.
-const CLIENTS: usize = 4;
-const UPLOADS: usize = 40;
+/// Share of the machines that the disruption may meet, as that of `platform_down` (`nodes`) in the site file.
+const MAX_SHARE: f64 = 0.35;
 
-/// Time from the answer of an upload to the client's next one.
-const PAUSE_MS: u64 = 60;
+/// Length of the disruption; the site file has 9 s.
+const SILENT: Duration = Duration::from_secs(5);
+const TURNED_AWAY: Duration = Duration::from_secs(9);
 
-/// Time after its answer at which the upstream reads on.
-const READS_ON_AFTER_MS: u64 = 300;
+/// Time from the start of the disruption to the change of the configuration.
+const CHANGE_AFTER: Duration = Duration::from_millis(300);
 
-/// What became of one upload at the upstream that ran it.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Received {
-    Whole,
-    Cut,
+/// `config_propagation_s`, `stable_window_s`, and `max_stretch_s` for machines with an unstable core.
+const PROPAGATION_S: f64 = 2.5;
+const STABLE_WINDOW_S: f64 = 4.0;
+const MAX_STRETCH_S: f64 = 5.0;
+
+/// One request for the dropped route: its machine, when it was sent, and its status.
+struct Probe {
+    machine: usize,
+    sent: f64,
+    status: u16,
 }
 
 fn main() {
-    let fleet = Fleet::start("2", harness::BOUNDS_WITH_QUOTAS);
-    let route = "[\"offers\",\"shop.example\",\"/offers/\",\"upload\",6,2,1,\"offers\",2]";
-    let route2 = "[\"front\",\"shop.example\",\"/front/\",\"idempotent\",2.5,0.6,1,\"front\",2]";
-    fleet.write_configuration(&configuration(&[route, route2], &["offers", "front"], ""));
-    let caller = fleet.add_machine("caller", "front", "svealand", "uppsala");
-    let handler = |upstream: &Upstream, req: &Message, http: &mut Http| {
-        http.socket.write_all(upstream.head(req, "200 OK", Some(0)).as_bytes())
-    };
-    Upstream::start(&fleet, &caller, "i-front", "front", 13, Box::new(handler));
-    let received: Arc<Mutex<HashMap<String, Received>>> = Arc::default();
-    for n in 0..2 {
-        let machine = fleet.add_machine(&format!("offers{n}"), "offers", "svealand", "vasteras");
-        let received = Arc::clone(&received);
-        let handler = move |upstream: &Upstream, req: &Message, http: &mut Http| {
-            let id = req.header("x-pistachiolane-request-id").unwrap_or("").to_owned();
-            let answer = upstream.head(req, "200 OK", Some(2)) + "ok";
-            thread::sleep(ms(30));
-            let body = if trouble() {
-                http.socket.write_all(answer.as_bytes())?;
-                upstream.record.write(format!("{id} runs at {}, answered 200 early", upstream.id));
-                thread::sleep(ms(READS_ON_AFTER_MS));
-                http.read_body(req)
-            } else {
-                http.read_body(req)
+    let fleet = Fleet::start("2", harness::BOUNDS);
+    let kept = "[\"kept\",\"shop.example\",\"/kept/\",\"idempotent\",2.5,0.6,1,\"sizing\",2]";
+    let dropped = "[\"old\",\"shop.example\",\"/old/\",\"idempotent\",2.5,0.6,1,\"sizing\",2]";
+    let version = |n: u32, routes: &[&str]| versioned_configuration(n, routes, &["sizing"], "");
+    fleet.write_configuration(&version(7, &[kept, dropped]));
+    let machines: Vec<_> = (0..MACHINES)
+        .map(|n| {
+            let zone = ["uppsala", "vasteras"][n % 2];
+            let machine = fleet.add_machine(&format!("m{n}"), "sizing", "svealand", zone);
+            let handler = |upstream: &Upstream, req: &Message, http: &mut Http| {
+                let id = req.header("x-pistachiolane-request-id").unwrap_or("");
+                upstream.record.write(format!("{id} runs at {}", upstream.id));
+                thread::sleep(ms(5));
+                http.socket.write_all((upstream.head(req, "200 OK", Some(2)) + "ok").as_bytes())
             };
-            let result = if body.is_ok() { Received::Whole } else { Received::Cut };
-            let end = match &body {
-                Ok(body) => format!("its whole body of {} bytes", body.len()),
-                Err(e) => format!("only a part of its body: {e}"),
-            };
-            upstream.record.write(format!("{} has got of {id} {end}", upstream.id));
-            received.lock().unwrap().insert(id.clone(), result);
-            body?;
-            if !trouble() {
-                http.socket.write_all(answer.as_bytes())?;
-                upstream.record.write(format!("{id} ran at {}, answered 200", upstream.id));
-            }
-            Ok(())
-        };
-        let id = format!("i-{n}");
-        Upstream::start_with(&fleet, &machine, &id, "offers", 40, false, Box::new(handler));
-    }
+            Upstream::start(&fleet, &machine, &format!("i-{n}"), "sizing", 13, Box::new(handler));
+            machine
+        })
+        .collect();
     fleet.wait_until_ready();
+    thread::sleep(ms(5_000));
+    // A change in a calm time ends the watches of machines that watched while the fleet was still starting.
+    fleet.replace_configuration(&version(9, &[kept, dropped]));
     thread::sleep(ms(6_000));
-    let accepted: Arc<Mutex<Vec<String>>> = Arc::default();
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let (record, accepted) = (Arc::clone(&fleet.record), Arc::clone(&accepted));
-            let outbound = caller.outbound;
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let probes: Arc<Mutex<Vec<Probe>>> = Arc::default();
+    let clients: Vec<_> = (0..MACHINES)
+        .map(|n| {
+            let (record, stop, probes) =
+                (Arc::clone(&fleet.record), Arc::clone(&stop), Arc::clone(&probes));
+            let outbound = machines[n].outbound;
             thread::spawn(move || {
-                for n in 0..UPLOADS {
-                    let id = format!("u{client}-{n}");
-                    let result = upload(outbound, &id);
-                    record.write(format!("{id}: {result:?}"));
-                    if let Ok((200, true)) = result {
-                        accepted.lock().unwrap().push(id);
+                for number in 0.. {
+                    if stop.load(Ordering::SeqCst) {
+                        return;
                     }
-                    thread::sleep(ms(PAUSE_MS));
+                    let id = format!("c{n}-{number}");
+                    let headers = [
+                        ("host", "shop.example"),
+                        ("x-pistachiolane-request-id", id.as_str()),
+                        ("x-pistachiolane-deadline-ms", "2000"),
+                    ];
+                    let sent = record.now();
+                    let req = request("GET", "/old/a", &headers, "");
+                    let res = harness::call_once(outbound, &req, ms(2_500));
+                    let status = res.map_or(0, |r| r.status());
+                    record.write(format!("{id} sent to m{n} at {:.1}: {status}", sent * 1e3));
+                    probes.lock().unwrap().push(Probe { machine: n, sent, status });
+                    thread::sleep(ms(100));
                 }
             })
         })
         .collect();
+    thread::sleep(ms(1_000));
+    let watchers: Vec<usize> = (0..MACHINES).filter(|n| fleet.watches(&machines[*n])).collect();
+    fleet.record.say(format!("machines that watch the configuration: {watchers:?}"));
+    if watchers.is_empty() || watchers.len() as f64 > MAX_SHARE * MACHINES as f64 {
+        fleet.end(
+            harness::COULD_NOT_RUN,
+            "more machines watch the store than the disruption may meet",
+        );
+    }
+    let rejected: Vec<usize> = if trouble() { watchers } else { Vec::new() };
+    let by_silence = std::env::var("REJECT").map_or(true, |v| v != "503");
+    let reject = |is_rejected: bool| {
+        for n in &rejected {
+            match by_silence {
+                true => fleet.silence_store(&machines[*n], is_rejected),
+                false => fleet.turn_away(&machines[*n], is_rejected),
+            }
+        }
+    };
+    reject(true);
+    thread::sleep(CHANGE_AFTER);
+    fleet.replace_configuration(&version(12, &[kept]));
+    let acknowledged = fleet.record.now();
+    thread::sleep(if by_silence { SILENT } else { TURNED_AWAY } - CHANGE_AFTER);
+    reject(false);
+    let ended = fleet.record.now();
+    thread::sleep(ms(if by_silence { 25_000 } else { 6_000 }));
+    stop.store(true, Ordering::SeqCst);
     for client in clients {
         let _ignored = client.join();
     }
-    thread::sleep(ms(4_000));
-    let accepted = accepted.lock().unwrap();
-    if accepted.is_empty() {
-        fleet.end(harness::COULD_NOT_RUN, "no upload was accepted");
+    let probes = probes.lock().unwrap();
+    if !probes.iter().any(|p| p.sent < acknowledged && p.status == 200) {
+        fleet.end(harness::COULD_NOT_RUN, "the route was not served before it was dropped");
     }
-    let received = received.lock().unwrap();
-    let cut = accepted.iter().filter(|id| received.get(*id) == Some(&Received::Cut)).count();
+    // From here on, each request for the dropped route has to be refused: after a silence by machines in touch, of which
+    // the core is stable, and otherwise after the time by which an unstable core stretches the bound.
+    let from = match (trouble(), by_silence) {
+        (false, _) => acknowledged + PROPAGATION_S,
+        (true, true) => (acknowledged + PROPAGATION_S).max(ended + STABLE_WINDOW_S),
+        (true, false) => acknowledged + PROPAGATION_S + MAX_STRETCH_S,
+    };
+    let late = |p: &&Probe| p.sent > from && p.status == 200 && !rejected.contains(&p.machine);
+    let broken = probes.iter().filter(late).count();
+    let last = probes.iter().filter(late).map(|p| p.sent - acknowledged).fold(0.0, f64::max);
     fleet.verdict(
-        cut > 0,
+        broken > 0,
         &format!(
-            "UNASKED: of {} uploads of {UPLOAD_BYTES} bytes that their clients sent whole and got the upstream's 200 for, \
-             {cut} reached the upstream that ran them with a shorter body",
-            accepted.len()
+            "CONFIG: {broken} requests for the dropped route ran that were sent later than {:.1} s after the \
+             acknowledgement to machines that the store has always served (the last {last:.1} s after it); the store \
+             served all machines again {:.1} s after it",
+            from - acknowledged,
+            ended - acknowledged
         ),
     );
 }
-
-/// Sends an upload and reads the answer meanwhile; returns the status and whether all bytes were sent. The connection
-/// stays open for some seconds after that.
-fn upload(outbound: std::net::SocketAddr, id: &str) -> io::Result<(u16, bool)> {
-    let headers = [
-        ("host", "shop.example"),
-        ("x-pistachiolane-request-id", id),
-        ("x-pistachiolane-deadline-ms", "6000"),
-    ];
-    let req = request("POST", "/offers/a", &headers, &"x".repeat(UPLOAD_BYTES));
-    let mut http = Http::connect(outbound, ms(1_000))?;
-    http.socket.set_read_timeout(Some(ms(6_000)))?;
-    http.socket.set_write_timeout(Some(ms(6_000)))?;
-    let mut sending = http.socket.try_clone()?;
-    let writer = thread::spawn(move || sending.write_all(&req).is_ok());
-    let res = http.read();
-    let is_sent = writer.join().unwrap_or(false);
-    thread::spawn(move || {
-        thread::sleep(ms(3_000));
-        drop(http);
-    });
-    Ok((res?.map_or(0, |r| r.status()), is_sent))
-}
--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,4 +1,5 @@
-//! An upstream falls silent within its answers. The node neither completes nor ends them, long after the route's timeout.
+//! One machine is cut off from all others, and its node is restarted meanwhile: it then spends the whole quota of each
+//! tenant beside the rest of the fleet.
 
 #[path = "../harness.rs"]
 mod harness;
@@ -11,146 +12,140 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-/// Bytes of an answer; downloads are large.
-const ANSWER_BYTES: usize = 90_000;
+/// Machines, each with one upstream of the service.
+const MACHINES: usize = 6;
 
-/// Bytes after which the upstream falls silent.
-const SENT_BYTES: usize = 30_000;
+/// Requests that the tenant's clients send on each machine.
+const PER_SECOND: f64 = 25.0;
 
-/// `timeout_s` of the route, and the clients' deadline, as those of `size-lookup` in the site file.
-const TIMEOUT_S: f64 = 1.2;
-const DEADLINE_MS: u64 = 2_500;
+/// Quota of the tenant: requests per second and burst.
+const RATE: f64 = 20.0;
+const BURST: f64 = 20.0;
 
-/// Time after the timeout at which a request has its final answer.
-const SLACK_S: f64 = 0.5;
+/// `quota_window_s`, `quota_overage` and `quota_slack` of the rules.
+const WINDOW_S: f64 = 5.0;
+const OVERAGE: f64 = 0.1;
+const SLACK: f64 = 20.0;
 
-/// Upstreams of the service; one of them, a share of 0.14, is faulty.
-const UPSTREAMS: usize = 7;
+/// Length of the cut, at most that of `node_cut` in the site file.
+const CUT: Duration = Duration::from_secs(12);
 
-/// The faulty upstream falls silent in two of five answers, for 6.5 s.
-const SILENT_OF_FIVE: u64 = 2;
-const FAULT: Duration = Duration::from_millis(6_500);
-
-/// Requests, one every 20 ms.
-const REQUESTS: usize = 450;
+/// Requests that an upstream ran: when they were sent and when they arrived.
+type Runs = Arc<Mutex<Vec<(f64, f64)>>>;
 
 fn main() {
-    let fleet = Fleet::start("4", harness::BOUNDS);
-    let route = format!(
-        "[\"patterns\",\"shop.example\",\"/patterns/\",\"download\",{TIMEOUT_S},0.4,1,\"patterns\",2]"
-    );
-    let route2 = "[\"front\",\"shop.example\",\"/front/\",\"idempotent\",2.5,0.6,1,\"front\",2]";
-    fleet.write_configuration(&configuration(&[&route, route2], &["patterns", "front"], ""));
-    let caller = fleet.add_machine("caller", "front", "svealand", "uppsala");
-    let handler = |upstream: &Upstream, req: &Message, http: &mut Http| {
-        http.socket.write_all(upstream.head(req, "200 OK", Some(0)).as_bytes())
-    };
-    Upstream::start(&fleet, &caller, "i-front", "front", 13, Box::new(handler));
-    let is_faulty = Arc::new(AtomicBool::new(false));
-    for n in 0..UPSTREAMS {
-        let machine =
-            fleet.add_machine(&format!("patterns{n}"), "patterns", "svealand", "vasteras");
-        let (is_faulty, answers) = (Arc::clone(&is_faulty), AtomicU64::new(0));
+    let fleet = Fleet::start("4", harness::BOUNDS_WITH_QUOTAS);
+    let runs: Runs = Arc::default();
+    let sent: Arc<Mutex<std::collections::HashMap<String, f64>>> = Arc::default();
+    let route =
+        "[\"notices\",\"shop.example\",\"/notices/\",\"idempotent\",2.5,0.6,1,\"notices\",2]";
+    fleet.write_configuration(&configuration(
+        &[route],
+        &["notices"],
+        &format!("[\"acme\",[\"k1\"],1,{RATE},{BURST}]"),
+    ));
+    let mut machines = Vec::new();
+    for n in 0..MACHINES {
+        let zone = ["uppsala", "vasteras"][n % 2];
+        let machine = fleet.add_machine(&format!("m{n}"), "notices", "svealand", zone);
+        let (runs, sent) = (Arc::clone(&runs), Arc::clone(&sent));
         let handler = move |upstream: &Upstream, req: &Message, http: &mut Http| {
             let id = req.header("x-pistachiolane-request-id").unwrap_or("").to_owned();
-            let is_silent = n == 0
-                && is_faulty.load(Ordering::SeqCst)
-                && answers.fetch_add(1, Ordering::SeqCst) % 5 < SILENT_OF_FIVE;
-            upstream.record.write(format!("{id} runs at {}, silent: {is_silent}", upstream.id));
-            thread::sleep(ms(60));
-            let head = upstream.head(req, "200 OK", Some(ANSWER_BYTES));
-            http.socket.write_all(head.as_bytes())?;
-            let body = vec![b'p'; ANSWER_BYTES];
-            if !is_silent {
-                return http.socket.write_all(&body);
-            }
-            http.socket.write_all(&body[..SENT_BYTES])?;
-            // Silent until the node closes the connection.
-            http.socket.set_read_timeout(None)?;
-            let read = http.read_head();
-            upstream
-                .record
-                .write(format!("{id}: connection closed by the node ({})", read.is_ok()));
-            Err(std::io::ErrorKind::ConnectionAborted.into())
+            let at = upstream.record.now();
+            let sent_at = sent.lock().unwrap().get(&id).copied().unwrap_or(at);
+            let tenant = req.header("x-pistachiolane-tenant-id").unwrap_or("-");
+            upstream.record.write(format!("{id} runs at {} for tenant {tenant}", upstream.id));
+            runs.lock().unwrap().push((sent_at, at));
+            thread::sleep(ms(20));
+            let head = upstream.head(req, "200 OK", Some(2));
+            http.socket.write_all(format!("{head}ok").as_bytes())
         };
-        Upstream::start(&fleet, &machine, &format!("i-{n}"), "patterns", 13, Box::new(handler));
+        Upstream::start(&fleet, &machine, &format!("i-{n}"), "notices", 13, Box::new(handler));
+        machines.push(machine);
     }
     fleet.wait_until_ready();
-    thread::sleep(ms(3_000));
-    let results: Arc<Mutex<Vec<(f64, bool)>>> = Arc::default();
-    if trouble() {
-        let (is_faulty, record) = (Arc::clone(&is_faulty), Arc::clone(&fleet.record));
-        thread::spawn(move || {
-            thread::sleep(ms(1_000));
-            is_faulty.store(true, Ordering::SeqCst);
-            record.say("upstream i-0 falls silent within two of five answers");
-            thread::sleep(FAULT);
-            is_faulty.store(false, Ordering::SeqCst);
-            record.say("upstream i-0 answers as usual");
-        });
-    }
-    let clients: Vec<_> = (0..REQUESTS)
-        .map(|n| {
-            thread::sleep(ms(20));
-            let (record, results) = (Arc::clone(&fleet.record), Arc::clone(&results));
-            let outbound = caller.outbound;
+    thread::sleep(ms(4_000));
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let answered = Arc::new(AtomicU64::new(0));
+    for (n, machine) in machines.iter().enumerate() {
+        // Each of the clients sends at a steady rate, over a connection that it keeps.
+        for client in 0..5 {
+            let (record, sent, stop) =
+                (Arc::clone(&fleet.record), Arc::clone(&sent), Arc::clone(&stop));
+            let (outbound, answered) = (machine.outbound, Arc::clone(&answered));
             thread::spawn(move || {
-                let id = format!("p-{n}");
-                let deadline = DEADLINE_MS.to_string();
-                let headers = [
-                    ("host", "shop.example"),
-                    ("x-pistachiolane-request-id", id.as_str()),
-                    ("x-pistachiolane-deadline-ms", deadline.as_str()),
-                ];
-                let req = request("GET", "/patterns/a", &headers, "");
-                let sent = record.now();
-                record.write(format!("{id} sent"));
-                let Ok(mut http) = Http::connect(outbound, ms(1_000)) else {
-                    return;
-                };
-                // The client leaves at its deadline.
-                let res = call_until(&mut http, &req, DEADLINE_MS);
-                let took = record.now() - sent;
-                let has_ended = !matches!(&res, Err(e) if is_timeout(e));
-                record.write(format!(
-                    "{id} after {took:.3} s: {}",
-                    match &res {
-                        Ok(res) => format!("{} with {} bytes", res.status(), res.body.len()),
-                        Err(e) if is_timeout(e) => "no final answer, the client leaves".to_owned(),
-                        Err(e) => format!("connection ended: {e}"),
+                let period = Duration::from_secs_f64(5.0 / PER_SECOND);
+                let mut next = Instant::now() + period.mul_f64(f64::from(client) / 5.0);
+                let mut kept: Option<Http> = None;
+                for number in 0.. {
+                    thread::sleep(next.saturating_duration_since(Instant::now()));
+                    next += period;
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = format!("q{n}{client}-{number}");
+                    let headers = [
+                        ("host", "shop.example"),
+                        ("authorization", "Bearer k1"),
+                        ("x-pistachiolane-request-id", id.as_str()),
+                        ("x-pistachiolane-deadline-ms", "2000"),
+                    ];
+                    let req = request("GET", "/notices/a", &headers, "");
+                    sent.lock().unwrap().insert(id.clone(), record.now());
+                    let connected =
+                        kept.take().map_or_else(|| Http::connect(outbound, ms(1_000)), Ok);
+                    let result = connected.and_then(|mut http| {
+                        let res = http.call(&req, ms(2_000))?;
+                        if res.header("connection") != Some("close") {
+                            kept = Some(http);
+                        }
+                        Ok(res.status())
+                    });
+                    if result.as_ref().is_ok_and(|s| *s == 200) {
+                        answered.fetch_add(1, Ordering::SeqCst);
                     }
-                ));
-                results.lock().unwrap().push((took, has_ended));
-            })
-        })
-        .collect();
-    for client in clients {
-        let _ignored = client.join();
+                    record.write(format!("{id} sent to m{n}: {result:?}"));
+                }
+            });
+        }
     }
-    let results = results.lock().unwrap();
-    if results.len() < REQUESTS {
-        fleet.end(harness::COULD_NOT_RUN, "a client could not connect");
+    fleet
+        .record
+        .say(format!("clients of tenant acme send {PER_SECOND} requests a second on each machine"));
+    thread::sleep(ms(6_000));
+    let last = &machines[MACHINES - 1];
+    if trouble() {
+        fleet.cut_machine(last, true);
+        fleet.kill_node(last);
+        thread::sleep(ms(500));
+        fleet.start_node(last);
+        thread::sleep(CUT - ms(500));
+        fleet.cut_machine(last, false);
+    } else {
+        thread::sleep(CUT);
     }
-    let longer = results.iter().filter(|(took, _)| *took > TIMEOUT_S).count();
-    let unanswered = results.iter().filter(|(took, _)| *took > TIMEOUT_S + SLACK_S).count();
-    let held = results.iter().filter(|(_, has_ended)| !has_ended).count();
+    thread::sleep(ms(3_000));
+    stop.store(true, Ordering::SeqCst);
+    thread::sleep(ms(500));
+    if answered.load(Ordering::SeqCst) == 0 {
+        fleet.end(harness::COULD_NOT_RUN, "no request was answered");
+    }
+    let (most, from) = most_in_window(&runs.lock().unwrap());
+    let allowed = (RATE * WINDOW_S + BURST) * (1.0 + OVERAGE) + SLACK;
     fleet.verdict(
-        unanswered >= 8 && unanswered * 4 > longer,
-        &format!(
-            "CONFIG: {longer} of {REQUESTS} requests lasted longer than timeout_s, {unanswered} of them had no final \
-             answer {SLACK_S} s after it, {held} none until the client left after {DEADLINE_MS} ms"
-        ),
+        most as f64 > allowed,
+        &format!("QUOTA: {most} requests of the tenant ran in the {WINDOW_S} s from {from:.1} s, {allowed} are allowed"),
     );
 }
 
-fn is_timeout(e: &std::io::Error) -> bool {
-    matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
-}
-
-/// Sends a request and reads the response; fails with a timeout once the deadline has passed.
-fn call_until(http: &mut Http, req: &[u8], deadline_ms: u64) -> std::io::Result<Message> {
-    http.call(req, ms(deadline_ms))
+/// Returns the most requests that were both sent and arrived in one window, and the start of that window.
+fn most_in_window(runs: &[(f64, f64)]) -> (usize, f64) {
+    let in_window =
+        |from: f64| runs.iter().filter(|(s, a)| *s >= from && *a <= from + WINDOW_S).count();
+    let counts = runs.iter().map(|(sent, _)| (in_window(*sent), *sent));
+    counts.max_by(|a, b| a.0.cmp(&b.0)).unwrap_or((0, 0.0))
 }
