--- a/review/cases.rs
+++ b/review/cases.rs
@@ -1084,6 +1084,7 @@
     let verdict = match name.as_str() {
         "early-answer" => early_answer(&scratch, &record),
         "upload-at-stop" => upload_at_stop(&scratch, &record),
+        "stalled-answer" => stalled_answer(&scratch, &record),
         "large-heads" => large_heads(&scratch, &record),
         other => Err(format!("there is no case {other}")),
     };
@@ -1393,3 +1394,104 @@
     }
     Ok(Vec::new())
 }
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Case: an upstream truncates answers and keeps the connection open
+
+/// Size of an answer in bytes.
+const DOWNLOAD_BYTES: usize = 100_000;
+
+/// `timeout_s` of the route of downloads.
+const DOWNLOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Time for which a client waits.
+const DOWNLOAD_DEADLINE: Duration = Duration::from_millis(6_000);
+
+/// Part of the answers of a faulty upstream that it truncates.
+const TRUNCATED_PART: f64 = 0.03;
+
+fn stalled_answer(dir: &Path, record: &Record) -> Verdict {
+    let is_faulty = Arc::new(AtomicBool::new(false));
+    let faulty = Arc::clone(&is_faulty);
+    let (answers, truncated) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let (answered, cut) = (Arc::clone(&answers), Arc::clone(&truncated));
+    let handler: Handler = Arc::new(move |up, conn, head| {
+        if up.is_health(head) {
+            return up.answer_health(conn);
+        }
+        conn.body(head)?;
+        up.begin(head);
+        thread::sleep(ms(20));
+        let answer = response("200 OK", &up.signed(head), &vec![b'p'; DOWNLOAD_BYTES]);
+        if up.id == "i-a" && faulty.load(Ordering::SeqCst) {
+            let answered = answered.fetch_add(1, Ordering::SeqCst) + 1;
+            if (cut.load(Ordering::SeqCst) + 1) as f64 <= TRUNCATED_PART * answered as f64 {
+                cut.fetch_add(1, Ordering::SeqCst);
+                up.record.line(&format!("upstream {} sends half of its answer to {} and no more", up.id, head.id()));
+                conn.send(&answer[..answer.len() / 2])?;
+                // Open and silent until the other side closes.
+                let closed = conn.fill();
+                up.record.line(&format!("upstream {}: the connection of {} ended: {closed:?}", up.id, head.id()));
+                return Ok(false);
+            }
+        }
+        conn.send(&answer)?;
+        Ok(true)
+    });
+    let route = Route { prefix: "patterns", kind: "download", service: "patterns", timeout_s: DOWNLOAD_TIMEOUT.as_secs_f64() };
+    let pair = Pair::start(dir, record, route, [SVEALAND, SVEALAND], 16, handler)?;
+    let to = pair.a.host.outbound;
+    let start = Instant::now();
+    let mut clients = Vec::new();
+    for n in 0..3_600 {
+        // The upstream is faulty for 6 s, sound for 3 s, and faulty for 6 s once more.
+        let pause = if n < 1_800 { 0.0 } else { 3.0 };
+        let at = start + Duration::from_secs_f64(f64::from(n) / 300.0 + pause);
+        if n % 1_800 == 0 {
+            is_faulty.store(false, Ordering::SeqCst);
+        }
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+        if n % 1_800 == 0 {
+            is_faulty.store(trouble(), Ordering::SeqCst);
+        }
+        let record = record.clone();
+        clients.push(thread::spawn(move || {
+            let id = format!("fetch-{n}");
+            let text = request_text("GET", "/patterns/x", &id, DOWNLOAD_DEADLINE.as_millis() as u64, "", b"");
+            let sent = Instant::now();
+            let outcome = Conn::connect(to).map_or_else(
+                |e| Outcome::Cut { why: format!("connect: {e}"), got_head: None },
+                |mut conn| match conn.send(&text) {
+                    Ok(()) => read_answer(&mut conn, DOWNLOAD_DEADLINE),
+                    Err(e) => Outcome::Cut { why: format!("send: {e}"), got_head: None },
+                },
+            );
+            let took = sent.elapsed();
+            if took >= DOWNLOAD_TIMEOUT {
+                record.line(&format!("client of {id}: {} after {} ms", outcome.describe(), took.as_millis()));
+            }
+            (id, took)
+        }));
+    }
+    is_faulty.store(false, Ordering::SeqCst);
+    let mut unanswered = Vec::new();
+    for client in clients {
+        let (id, took) = client.join().map_err(|_| "a client failed".to_owned())?;
+        if took >= DOWNLOAD_TIMEOUT {
+            unanswered.push((id, took));
+        }
+    }
+    record.line(&format!(
+        "{} answers of i-a while it was faulty, {} of them truncated; {} requests without a final answer at timeout_s",
+        answers.load(Ordering::SeqCst), truncated.load(Ordering::SeqCst), unanswered.len()
+    ));
+    let held: Vec<String> = unanswered
+        .iter()
+        .filter(|(_, took)| *took >= DOWNLOAD_TIMEOUT + ms(500))
+        .map(|(id, took)| format!("{id} had no final answer {} ms after it was sent, timeout_s is 2.5", took.as_millis()))
+        .collect();
+    if held.len() >= 8 && held.len() * 4 > unanswered.len() {
+        return Ok(held);
+    }
+    Ok(Vec::new())
+}
