--- a/review/cases.rs
+++ b/review/cases.rs
@@ -1085,6 +1085,7 @@
         "early-answer" => early_answer(&scratch, &record),
         "upload-at-stop" => upload_at_stop(&scratch, &record),
         "stalled-answer" => stalled_answer(&scratch, &record),
+        "pipelined-downloads" => pipelined_downloads(&scratch, &record),
         "large-heads" => large_heads(&scratch, &record),
         other => Err(format!("there is no case {other}")),
     };
@@ -1495,3 +1496,126 @@
     }
     Ok(Vec::new())
 }
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Case: clients that pipeline downloads make all requests between two machines hang
+
+/// Size of a download in bytes, the largest one of the site files.
+const FILE_BYTES: usize = 540_000;
+
+/// Requests that a client sends before it has read the first answer.
+const PIPELINE_DEPTH: usize = 8;
+
+fn pipelined_downloads(dir: &Path, record: &Record) -> Verdict {
+    let handler: Handler = Arc::new(move |up, conn, head| {
+        if up.is_health(head) {
+            return up.answer_health(conn);
+        }
+        conn.body(head)?;
+        up.begin(head);
+        // A lookup takes longer than the start of a download.
+        thread::sleep(ms(if head.path().starts_with("/look/") { 400 } else { 20 }));
+        let size = if head.path().starts_with("/patterns/") { FILE_BYTES } else { 2_000 };
+        let sent = conn.send(&response("200 OK", &up.signed(head), &vec![b'p'; size]));
+        up.record.line(&format!("upstream {} has sent the whole answer to {}: {}", up.id, head.id(), sent.is_ok()));
+        sent?;
+        Ok(true)
+    });
+    let store = Store::start();
+    let routes = [
+        Route { prefix: "patterns", kind: "download", service: "patterns", timeout_s: 2.5 },
+        Route { prefix: "look", kind: "idempotent", service: "patterns", timeout_s: 2.5 },
+        Route { prefix: "notes", kind: "non_idempotent", service: "patterns", timeout_s: 2.5 },
+    ];
+    store.put("config", "main", &configuration(1, &routes, &["patterns", "shop"], "null"));
+    let a = Node::start(dir, "a", &store, Host::new(), SVEALAND, "shop");
+    let b = Node::start(dir, "b", &store, Host::new(), SVEALAND, "patterns");
+    let up_b = Upstream::start(record, "i-b", &b, 18, handler);
+    for node in [&a, &b] {
+        if !node.wait_ready(Duration::from_secs(20)) {
+            return Err("a node did not get ready".into());
+        }
+    }
+    thread::sleep(ms(4_000));
+    record.line("both nodes are ready");
+    let to = a.host.outbound;
+    let timeout = Duration::from_millis(2_500);
+    let wait = Duration::from_millis(6_000);
+    let end = Instant::now() + Duration::from_secs(5);
+    // Two clients look up and fetch files as usual; in the burst there are five.
+    let clients = if trouble() { 5 } else { 2 };
+    // Time from the sending of each request to its final answer, or to the client's end.
+    type Results = Vec<(String, Duration, bool)>;
+    let mut running: Vec<thread::JoinHandle<Results>> = Vec::new();
+    for client in 0..clients {
+        let record = record.clone();
+        running.push(thread::spawn(move || {
+            let mut results = Vec::new();
+            let mut round = 0;
+            while Instant::now() < end {
+                round += 1;
+                let Ok(mut conn) = Conn::connect(to) else { continue };
+                let ids: Vec<String> = (0..PIPELINE_DEPTH).map(|n| format!("file-{client}-{round}-{n}")).collect();
+                let path = |n: usize| if n == 0 { "/look/x" } else { "/patterns/x" };
+                let text: Vec<u8> = ids
+                    .iter()
+                    .enumerate()
+                    .flat_map(|(n, id)| request_text("GET", path(n), id, wait.as_millis() as u64, "", b""))
+                    .collect();
+                let sent = Instant::now();
+                let _ = conn.send(&text);
+                let mut is_open = true;
+                for id in &ids {
+                    let left = wait.saturating_sub(sent.elapsed()).max(ms(1));
+                    let outcome = if is_open {
+                        read_answer(&mut conn, left)
+                    } else {
+                        Outcome::Cut { why: "not reached".into(), got_head: None }
+                    };
+                    is_open &= !matches!(outcome, Outcome::Cut { .. });
+                    let took = sent.elapsed();
+                    if took > ms(1_000) || !is_open {
+                        record.line(&format!("client of {id}: {} after {} ms", outcome.describe(), took.as_millis()));
+                    }
+                    results.push((id.clone(), took, is_open));
+                }
+            }
+            results
+        }));
+    }
+    // Small requests of another route, ten a second, at the same upstream.
+    for n in 0..50 {
+        let record = record.clone();
+        let at = end - Duration::from_secs(5) + ms(100 * n);
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+        running.push(thread::spawn(move || {
+            let id = format!("note-{n}");
+            let text = request_text("POST", "/notes/x", &id, wait.as_millis() as u64, "", b"note");
+            let sent = Instant::now();
+            let outcome = call(&record, to, &id, &text, wait);
+            vec![(id, sent.elapsed(), matches!(outcome, Outcome::Answer { .. }))]
+        }));
+    }
+    let mut results = Vec::new();
+    for client in running {
+        results.extend(client.join().map_err(|_| "a client failed".to_owned())?);
+    }
+    let late: Vec<_> = results.iter().filter(|(_, took, _)| *took >= timeout).collect();
+    let held: Vec<_> = late.iter().filter(|(_, took, _)| *took >= timeout + ms(500)).collect();
+    let notes: Vec<_> = held.iter().filter(|(id, ..)| id.starts_with("note-")).collect();
+    let ran = notes.iter().filter(|(id, ..)| up_b.runs_of(id) > 0).count();
+    record.line(&format!(
+        "{} requests, {} lasted longer than timeout_s, {} of them had no final answer 0.5 s later, {} of these are notes, of which {ran} have run",
+        results.len(), late.len(), held.len(), notes.len()
+    ));
+    if held.len() >= 8 && held.len() * 4 > late.len() {
+        return Ok(held
+            .iter()
+            .map(|(id, took, answered)| format!(
+                "{id} had {} {} ms after it was sent, timeout_s is 2.5",
+                if *answered { "its answer only" } else { "no answer" }, took.as_millis()
+            ))
+            .collect());
+    }
+    Ok(Vec::new())
+}
