--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the second review's scripts (cases 6 to 10): one program that plays the store, the upstreams and
-# the clients, with the standard library alone.
+# Builds the stand-ins that the scripts of the second review start: a program that plays the store, the upstreams and the
+# clients of cases 6 and 8, and case 7, which uses the earlier review's harness and the project's own store.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+cargo build --release --locked -p lab
 mkdir -p target/review-2
 rustc --edition 2021 -O -o target/review-2/cases review/cases.rs
+rustc --edition 2024 -O -o target/review-2/case-7 review/7/case.rs
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -595,7 +595,7 @@
         thread::sleep(TIME_LIMIT);
         record.line("could not run: the time limit has passed");
         for pid in PROCESSES.lock().unwrap().iter() {
-            let _ = Command::new("kill").arg("-KILL").arg(pid.to_string()).status();
+            let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {pid}")).status();
         }
         std::process::exit(2);
     });
@@ -676,7 +676,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status();
+        let _ = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.pid())).status();
     }
 
     /// Waits for the end of the process; `false` if it has not ended within the limit.
@@ -1082,11 +1082,8 @@
     }
     record.line(&format!("case {name}, {}", if trouble() { "with the disruption" } else { "without the disruption" }));
     let verdict = match name.as_str() {
-        "early-answer" => early_answer(&scratch, &record),
         "upload-at-stop" => upload_at_stop(&scratch, &record),
-        "stalled-answer" => stalled_answer(&scratch, &record),
         "pipelined-downloads" => pipelined_downloads(&scratch, &record),
-        "large-heads" => large_heads(&scratch, &record),
         other => Err(format!("there is no case {other}")),
     };
     if std::env::var("KEEP_LOGS").is_err() {
@@ -1113,130 +1110,6 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------------------
-// Case: an upstream answers before it has read a long body, keeps the connection and reads on
-
-/// Size of a long body in bytes; the configuration allows 64 MiB.
-const LONG_BODY: usize = 8_000_000;
-
-fn early_answer(dir: &Path, record: &Record) -> Verdict {
-    type Bodies = Arc<Mutex<HashMap<String, (String, usize, bool)>>>;
-    let bodies: Bodies = Arc::default();
-    let received = Arc::clone(&bodies);
-    let long_requests = Arc::new(AtomicU64::new(0));
-    let handler: Handler = Arc::new(move |up, conn, head| {
-        if up.is_health(head) {
-            return up.answer_health(conn);
-        }
-        up.begin(head);
-        let length = head.length().unwrap_or(0);
-        let is_long = length > 100_000;
-        // One of the two upstreams answers every third long request early.
-        let is_early = trouble()
-            && is_long
-            && up.id == "i-a"
-            && long_requests.fetch_add(1, Ordering::SeqCst) % 3 == 0;
-        if is_early {
-            conn.send(&response("200 OK", &up.signed(head), b"accepted"))?;
-            up.record.line(&format!("upstream {} answers {} early", up.id, head.id()));
-            thread::sleep(ms(300));
-        }
-        let body = conn.body(head);
-        if is_long {
-            let (bytes, is_same) = match &body {
-                Ok(body) => (body.len(), body.iter().all(|c| *c == b'x')),
-                Err(_) => (conn.buf.len(), false),
-            };
-            let what = match &body {
-                Ok(_) => "the whole body".to_owned(),
-                Err(e) => format!("{bytes} of {length} bytes, then: {e}"),
-            };
-            up.record.line(&format!("upstream {} has read {} of {}", up.id, what, head.id()));
-            received.lock().unwrap().insert(head.id().to_owned(), (up.id.clone(), bytes, is_same));
-        }
-        body?;
-        if !is_early {
-            thread::sleep(ms(if is_long { 100 } else { 10 }));
-            conn.send(&response("200 OK", &up.signed(head), b"accepted"))?;
-        }
-        Ok(true)
-    });
-    let route = Route { prefix: "forms", kind: "upload", service: "intake", timeout_s: 8.0 };
-    let pair = Pair::start(dir, record, route, [SVEALAND, SVEALAND], 16, handler)?;
-    let to = pair.a.host.outbound;
-    let end = Instant::now() + Duration::from_secs(6);
-    let mut clients = Vec::new();
-    // Long uploads, one after the other on kept connections.
-    for client in 0..3 {
-        let record = record.clone();
-        clients.push(thread::spawn(move || {
-            let mut accepted = Vec::new();
-            let mut n = 0;
-            while Instant::now() < end {
-                let Ok(mut conn) = Conn::connect(to) else { continue };
-                while Instant::now() < end {
-                    n += 1;
-                    let id = format!("long-{client}-{n}");
-                    let text = request_text("POST", "/forms/x", &id, 8_000, "", &vec![b'x'; LONG_BODY]);
-                    record.line(&format!("client sends {id}, {} bytes", text.len()));
-                    // Reads the answer also if it comes before all is sent, and sends on.
-                    let Ok(mut writer) = conn.socket.try_clone() else { break };
-                    let writing = thread::spawn(move || writer.write_all(&text).is_ok());
-                    let outcome = read_answer(&mut conn, Duration::from_secs(9));
-                    let all_sent = writing.join().unwrap_or(false);
-                    record.line(&format!("client got for {id}: {}, all sent: {all_sent}", outcome.describe()));
-                    if let Outcome::Answer { head, .. } = &outcome {
-                        let signature = head.get("x-pistachiolane-response-signature");
-                        if head.status() == 200 && signature.is_some() {
-                            accepted.push(id);
-                        }
-                    }
-                    if !all_sent || matches!(outcome, Outcome::Cut { .. }) {
-                        break;
-                    }
-                }
-            }
-            accepted
-        }));
-    }
-    // The usual small requests of the same service meanwhile.
-    let small = {
-        let record = record.clone();
-        thread::spawn(move || {
-            let mut n = 0;
-            while Instant::now() < end {
-                n += 1;
-                let id = format!("small-{n}");
-                call(&record, to, &id, &request_text("POST", "/forms/x", &id, 5_000, "", b"form"), Duration::from_secs(6));
-                thread::sleep(ms(20));
-            }
-        })
-    };
-    let mut accepted = Vec::new();
-    for client in clients {
-        accepted.extend(client.join().map_err(|_| "a client failed".to_owned())?);
-    }
-    let _ = small.join();
-    // The upstreams read on for a while.
-    thread::sleep(ms(1_500));
-    let bodies = bodies.lock().unwrap();
-    if accepted.len() < 10 {
-        return Err(format!("only {} uploads were accepted", accepted.len()));
-    }
-    let mut breaks = Vec::new();
-    for id in &accepted {
-        match bodies.get(id) {
-            Some((_, bytes, true)) if *bytes == LONG_BODY => {}
-            Some((up, bytes, _)) => breaks.push(format!(
-                "{id}: its client got 200 with the signature of {up}, which got {bytes} of {LONG_BODY} bytes"
-            )),
-            None => breaks.push(format!("{id}: its client got 200, no upstream has read its body")),
-        }
-    }
-    record.line(&format!("{} uploads accepted, {} of them changed", accepted.len(), breaks.len()));
-    Ok(breaks)
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // Case: a node that is stopped breaks off uploads at which their upstream is at work
 
@@ -1332,171 +1205,6 @@
     Ok(breaks)
 }
 
-// ---------------------------------------------------------------------------------------------------------------------
-// Case: requests with large heads are denied once they run at another machine
-
-fn large_heads(dir: &Path, record: &Record) -> Verdict {
-    let route = Route { prefix: "orders", kind: "non_idempotent", service: "orders", timeout_s: 5.0 };
-    let store = Store::start();
-    store.put("config", "main", &configuration(1, &[route], &["orders"], "null"));
-    // Six upstreams, of which one leaves: its machine is the only one in its region.
-    let places = [SVEALAND, GOTALAND, GOTALAND, GOTALAND, NORRLAND, NORRLAND];
-    let mut nodes = Vec::new();
-    let mut upstreams = Vec::new();
-    for (n, place) in places.into_iter().enumerate() {
-        let node = Node::start(dir, &format!("node-{n}"), &store, Host::new(), place, "orders");
-        upstreams.push(Upstream::start(record, &format!("i-{n}"), &node, 16, plain_handler(ms(20))));
-        nodes.push(node);
-    }
-    if !nodes.iter().all(|node| node.wait_ready(Duration::from_secs(20))) {
-        return Err("a node did not get ready".into());
-    }
-    thread::sleep(ms(4_000));
-    record.line("all nodes are ready");
-    let to = nodes[0].host.outbound;
-    if trouble() {
-        record.line(&format!("upstream i-0 drains, acknowledged: {}", upstreams[0].drain()));
-        thread::sleep(ms(3_000));
-        record.line(&format!("upstream i-0 leaves, acknowledged: {}", upstreams[0].deregister()));
-    }
-    let mut denied = Vec::new();
-    let (mut sent, mut served) = (0, 0);
-    for n in 0..120 {
-        // Every other request has a head of 15.5 KB; the configuration allows 16,384 bytes.
-        let mut headers = String::new();
-        if n % 2 == 0 {
-            for i in 0..50 {
-                headers.push_str(&format!("X-Trace-{i:02}: {}\r\n", "t".repeat(292)));
-            }
-        }
-        let id = format!("order-{n}");
-        let text = request_text("POST", "/orders/x", &id, 5_000, &headers, b"order");
-        if text.len() > 16_384 {
-            return Err("the head is larger than the configuration allows".into());
-        }
-        sent += 1;
-        let outcome = call(record, to, &id, &text, Duration::from_secs(6));
-        if let Outcome::Answer { head, .. } = &outcome {
-            let own = head.get("x-pistachiolane-response-signature").is_none();
-            let status = head.status();
-            served += usize::from(status == 200);
-            if own && (300..500).contains(&status) && ![408, 421, 429].contains(&status) {
-                denied.push(format!("{id}, {} bytes: {status} without a signature", text.len()));
-            }
-        }
-    }
-    record.line(&format!("{sent} requests sent, {served} served, {} denied", denied.len()));
-    let allowed = 5.0 + sent as f64 / 500.0;
-    if denied.len() as f64 > allowed {
-        return Ok(denied);
-    }
-    if served * 2 < sent {
-        return Err(format!("only {served} of {sent} requests were served"));
-    }
-    Ok(Vec::new())
-}
-
-// ---------------------------------------------------------------------------------------------------------------------
-// Case: an upstream truncates answers and keeps the connection open
-
-/// Size of an answer in bytes.
-const DOWNLOAD_BYTES: usize = 100_000;
-
-/// `timeout_s` of the route of downloads.
-const DOWNLOAD_TIMEOUT: Duration = Duration::from_millis(2_500);
-
-/// Time for which a client waits.
-const DOWNLOAD_DEADLINE: Duration = Duration::from_millis(6_000);
-
-/// Part of the answers of a faulty upstream that it truncates.
-const TRUNCATED_PART: f64 = 0.03;
-
-fn stalled_answer(dir: &Path, record: &Record) -> Verdict {
-    let is_faulty = Arc::new(AtomicBool::new(false));
-    let faulty = Arc::clone(&is_faulty);
-    let (answers, truncated) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
-    let (answered, cut) = (Arc::clone(&answers), Arc::clone(&truncated));
-    let handler: Handler = Arc::new(move |up, conn, head| {
-        if up.is_health(head) {
-            return up.answer_health(conn);
-        }
-        conn.body(head)?;
-        up.begin(head);
-        thread::sleep(ms(20));
-        let answer = response("200 OK", &up.signed(head), &vec![b'p'; DOWNLOAD_BYTES]);
-        if up.id == "i-a" && faulty.load(Ordering::SeqCst) {
-            let answered = answered.fetch_add(1, Ordering::SeqCst) + 1;
-            if (cut.load(Ordering::SeqCst) + 1) as f64 <= TRUNCATED_PART * answered as f64 {
-                cut.fetch_add(1, Ordering::SeqCst);
-                up.record.line(&format!("upstream {} sends half of its answer to {} and no more", up.id, head.id()));
-                conn.send(&answer[..answer.len() / 2])?;
-                // Open and silent until the other side closes.
-                let closed = conn.fill();
-                up.record.line(&format!("upstream {}: the connection of {} ended: {closed:?}", up.id, head.id()));
-                return Ok(false);
-            }
-        }
-        conn.send(&answer)?;
-        Ok(true)
-    });
-    let route = Route { prefix: "patterns", kind: "download", service: "patterns", timeout_s: DOWNLOAD_TIMEOUT.as_secs_f64() };
-    let pair = Pair::start(dir, record, route, [SVEALAND, SVEALAND], 16, handler)?;
-    let to = pair.a.host.outbound;
-    let start = Instant::now();
-    let mut clients = Vec::new();
-    for n in 0..3_600 {
-        // The upstream is faulty for 6 s, sound for 3 s, and faulty for 6 s once more.
-        let pause = if n < 1_800 { 0.0 } else { 3.0 };
-        let at = start + Duration::from_secs_f64(f64::from(n) / 300.0 + pause);
-        if n % 1_800 == 0 {
-            is_faulty.store(false, Ordering::SeqCst);
-        }
-        thread::sleep(at.saturating_duration_since(Instant::now()));
-        if n % 1_800 == 0 {
-            is_faulty.store(trouble(), Ordering::SeqCst);
-        }
-        let record = record.clone();
-        clients.push(thread::spawn(move || {
-            let id = format!("fetch-{n}");
-            let text = request_text("GET", "/patterns/x", &id, DOWNLOAD_DEADLINE.as_millis() as u64, "", b"");
-            let sent = Instant::now();
-            let outcome = Conn::connect(to).map_or_else(
-                |e| Outcome::Cut { why: format!("connect: {e}"), got_head: None },
-                |mut conn| match conn.send(&text) {
-                    Ok(()) => read_answer(&mut conn, DOWNLOAD_DEADLINE),
-                    Err(e) => Outcome::Cut { why: format!("send: {e}"), got_head: None },
-                },
-            );
-            let took = sent.elapsed();
-            if took >= DOWNLOAD_TIMEOUT {
-                record.line(&format!("client of {id}: {} after {} ms", outcome.describe(), took.as_millis()));
-            }
-            (id, took)
-        }));
-    }
-    is_faulty.store(false, Ordering::SeqCst);
-    let mut unanswered = Vec::new();
-    for client in clients {
-        let (id, took) = client.join().map_err(|_| "a client failed".to_owned())?;
-        if took >= DOWNLOAD_TIMEOUT {
-            unanswered.push((id, took));
-        }
-    }
-    record.line(&format!(
-        "{} answers of i-a while it was faulty, {} of them truncated; {} requests without a final answer at timeout_s",
-        answers.load(Ordering::SeqCst), truncated.load(Ordering::SeqCst), unanswered.len()
-    ));
-    let held: Vec<String> = unanswered
-        .iter()
-        .filter(|(_, took)| *took >= DOWNLOAD_TIMEOUT + ms(500))
-        .map(|(id, took)| format!("{id} had no final answer {} ms after it was sent, timeout_s is 2.5", took.as_millis()))
-        .collect();
-    if held.len() >= 8 && held.len() * 4 > unanswered.len() {
-        return Ok(held);
-    }
-    Ok(Vec::new())
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // Case: clients that pipeline downloads make all requests between two machines hang
 
