review: case 8, a stop passes on long uploads whose bodies end late

The check that refuses a late request at a stop runs before a body of more than 512 KiB has arrived.

The upload that its upstream reads late is case 9 now.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the stand-ins that the scripts of the second review start: a program that plays the store, the upstreams and the
-# clients of cases 6 and 8, and case 7, which uses the earlier review's harness and the project's own store.
+# clients of cases 6, 8 and 9, and case 7, which uses the earlier review's harness and the project's own store.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --release --locked -p lab
--- a/review/cases.rs
+++ b/review/cases.rs
@@ -1082,6 +1082,7 @@
     }
     record.line(&format!("case {name}, {}", if trouble() { "with the disruption" } else { "without the disruption" }));
     let verdict = match name.as_str() {
+        "late-upload" => late_upload(&scratch, &record),
         "upload-at-stop" => upload_at_stop(&scratch, &record),
         "pipelined-downloads" => pipelined_downloads(&scratch, &record),
         other => Err(format!("there is no case {other}")),
@@ -1327,3 +1328,104 @@
     }
     Ok(Vec::new())
 }
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Case: a node that is stopped passes on long uploads whose bodies end late, and breaks them off
+
+/// Size of an upload in bytes; above 512 KiB it is passed on while it arrives.
+const LATE_UPLOAD: usize = 1_200_000;
+
+/// Time after the SIGTERM at which clients begin to send, and at which they have sent all.
+const BEGUN_AT: Duration = Duration::from_millis(1_000);
+const SENT_AT: Duration = Duration::from_millis(4_600);
+
+/// Work of an upstream on an upload that it has read.
+const UPLOAD_WORK: Duration = Duration::from_millis(800);
+
+fn late_upload(dir: &Path, record: &Record) -> Verdict {
+    let size = std::env::var("SIZE").ok().and_then(|s| s.parse().ok()).unwrap_or(LATE_UPLOAD);
+    let handler: Handler = Arc::new(|up, conn, head| {
+        if up.is_health(head) {
+            return up.answer_health(conn);
+        }
+        let body = conn.body(head)?;
+        up.begin(head);
+        thread::sleep(if body.len() > 1_000 { UPLOAD_WORK } else { ms(20) });
+        let sent = conn.send(&response("200 OK", &up.signed(head), b"accepted"));
+        up.record.line(&format!("upstream {} has ended {}", up.id, head.id()));
+        sent?;
+        Ok(true)
+    });
+    let route = Route { prefix: "forms", kind: "upload", service: "intake", timeout_s: 8.0 };
+    let mut pair = Pair::start(dir, record, route, [SVEALAND, SVEALAND], 16, handler)?;
+    let to = pair.a.host.outbound;
+    // The node has seen how long uploads of this route take.
+    for n in 0..4 {
+        let id = format!("before-{n}");
+        let text = request_text("POST", "/forms/x", &id, 8_000, "", &vec![b'x'; size]);
+        if call(record, to, &id, &text, Duration::from_secs(9)).status() != 200 {
+            return Err("an upload was not served before the stop".into());
+        }
+    }
+    let stopped = Instant::now() + ms(500);
+    let mut clients = Vec::new();
+    for client in 0..4 {
+        let record = record.clone();
+        clients.push(thread::spawn(move || {
+            let mut conn = Conn::connect(to).ok()?;
+            // The connection is kept: it has served a request before.
+            let first = format!("first-{client}");
+            conn.send(&request_text("POST", "/forms/x", &first, 5_000, "", b"form")).ok()?;
+            read_answer(&mut conn, Duration::from_secs(6));
+            let id = format!("upload-{client}");
+            let text = request_text("POST", "/forms/x", &id, 8_000, "", &vec![b'x'; size]);
+            thread::sleep((stopped + BEGUN_AT).saturating_duration_since(Instant::now()));
+            record.line(&format!("client begins to send {id}, {} bytes", text.len()));
+            let mut writer = conn.socket.try_clone().ok()?;
+            let writing = thread::spawn(move || {
+                // A client with a slow link: 36 equal parts.
+                for (n, part) in text.chunks(text.len() / 36 + 1).enumerate() {
+                    let at = stopped + BEGUN_AT + (SENT_AT - BEGUN_AT).mul_f64((n + 1) as f64 / 36.0);
+                    thread::sleep(at.saturating_duration_since(Instant::now()));
+                    writer.write_all(part).ok()?;
+                }
+                Some(Instant::now())
+            });
+            let outcome = read_answer(&mut conn, Duration::from_secs(9));
+            let ended = Instant::now();
+            let sent = writing.join().ok().flatten();
+            record.line(&format!("client got for {id}: {}", outcome.describe()));
+            Some((id, sent, ended, outcome))
+        }));
+    }
+    thread::sleep(stopped.saturating_duration_since(Instant::now()));
+    if trouble() {
+        record.line("SIGTERM to node a, the node that takes the uploads from their clients");
+        pair.a.signal("TERM");
+    }
+    let mut results = Vec::new();
+    for client in clients {
+        results.push(client.join().ok().flatten().ok_or("a client could not send")?);
+    }
+    if trouble() {
+        record.line(&format!("node a ended by itself within grace_s: {}", pair.a.wait(Duration::from_secs(6))));
+    }
+    thread::sleep(ms(1_000));
+    let mut breaks = Vec::new();
+    for (id, sent, ended, outcome) in &results {
+        let is_complete = matches!(outcome, Outcome::Answer { head, .. }
+            if head.get("x-pistachiolane-response-signature").is_some());
+        let ran = pair.up_a.runs_of(id) + pair.up_b.runs_of(id);
+        // A request that was sent no later than 3 s after the SIGTERM may be cut while its upstream works in the last sixth.
+        let is_late = sent.is_some_and(|at| at > stopped + Duration::from_secs(3));
+        if !is_complete && ran > 0 && is_late {
+            breaks.push(format!(
+                "{id}: all sent {} ms after the SIGTERM and run by its upstream; its client got {} after {} ms",
+                sent.map_or(0, |at| at.saturating_duration_since(stopped).as_millis()),
+                outcome.describe(),
+                ended.saturating_duration_since(stopped).as_millis()
+            ));
+        }
+    }
+    Ok(breaks)
+}
