Tests of crowds of callers that end a process

Callers saw the process beside them end: it ran out of memory under many request bodies that stop a byte short of their end and stay open.

The tests start the program's own processes on loopback, lower memory (64 MiB), descriptors (1,024 or 160) and the largest body in their settings, send a crowd, and read memory and descriptors from outside beside the crowd and after it. They check that the processes live, both bounds, and ordinary requests; nothing about times. Crowds and bounds are fixed here, before the product changes.

The settings of memory and descriptors have no effect yet.

--- a/lab/src/soak/host.rs
+++ b/lab/src/soak/host.rs
@@ -12,10 +12,9 @@
         relay::Relay,
         stand_in::{Capacity, HostOutage, PlatformStandIn, PlatformUpstream},
     },
-    rustix::process::Signal,
+    rustix::process::{Pid, Signal},
     serde_json::json,
     std::{
-        fmt::Write,
         fs, io,
         net::SocketAddr,
         path::{Path, PathBuf},
@@ -114,6 +113,8 @@
     pub next_upstream: AtomicU64,
     /// HTTP client for announcements.
     pub http: HttpClient,
+    /// Additional lines of the settings files, each with its line break.
+    pub settings: String,
 }
 
 impl SoakContext {
@@ -127,8 +128,16 @@
             started: Instant::now(),
             next_upstream: AtomicU64::new(1),
             http: HttpClient::new(),
+            settings: String::new(),
         }
     }
+
+    /// Adds a line to the settings file of each host; `name` has no prefix.
+    #[must_use]
+    pub fn with_setting(mut self, name: &str, value: &str) -> Self {
+        self.settings.push_str(&settings_line(name, value));
+        self
+    }
 }
 
 /// A host with a node process, an upstream and their links.
@@ -188,10 +197,8 @@
         let settings = context.directory.join(format!("{name}.env"));
         let addresses = NodeAddresses { advertised_gate: gate.address, ..addresses };
         let service = if index.is_multiple_of(2) { "booking" } else { "sorting" };
-        fs::write(
-            &settings,
-            settings_text(index, &addresses, &extra_addresses, store, service, 80),
-        )?;
+        let text = settings_text(index, &addresses, &extra_addresses, store, service, 80);
+        fs::write(&settings, text + &context.settings)?;
         let log = context.directory.join(format!("{name}-1.log"));
         let program = Program::start(&context.program, &settings, &log)?;
         let host = Arc::new(Self {
@@ -226,6 +233,26 @@
         }
     }
 
+    /// Returns the addresses of the node itself, without relays.
+    pub fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+
+    /// Returns the addresses of the readiness listener and of the announcement listener.
+    pub fn service_addresses(&self) -> (SocketAddr, SocketAddr) {
+        (self.extra_addresses.listen, self.extra_addresses.gate)
+    }
+
+    /// Returns the id of the process; `None` if its exit was observed.
+    pub fn process_id(&self) -> Option<Pid> {
+        lock(&self.program).id()
+    }
+
+    /// Whether the process has exited.
+    pub fn has_exited(&self) -> bool {
+        lock(&self.program).has_exited()
+    }
+
     /// Whether the node reports that it is ready.
     pub async fn is_ready(&self) -> bool {
         let uri = format!("http://{}/pistachiolane/readiness", self.extra_addresses.listen);
@@ -249,7 +276,7 @@
         let Self { addresses, extra_addresses, store, service, .. } = self;
         let text =
             settings_text(index, addresses, extra_addresses, *store, service, usable_percent);
-        fs::write(self.settings_path(), text)
+        fs::write(self.settings_path(), text + &self.context.settings)
     }
 
     /// Stops the process with SIGTERM if `planned`, else with SIGKILL, and starts a new one after its exit.
@@ -419,12 +446,15 @@
     ];
     let mut text = String::new();
     for (name, value) in values {
-        // Writing to a string can't fail.
-        let _written = writeln!(text, "PISTACHIOLANE_{name}={value}");
+        text.push_str(&settings_line(name, &value));
     }
     text
 }
 
+fn settings_line(name: &str, value: &str) -> String {
+    format!("PISTACHIOLANE_{name}={value}\n")
+}
+
 /// Creates an empty directory; removes what exists at the path.
 ///
 /// # Errors
--- a/lab/src/soak/program.rs
+++ b/lab/src/soak/program.rs
@@ -54,8 +54,12 @@
     /// Fails when the signal cannot be sent.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         // Only this value waits for the child, so its id can't have been reused by another process.
-        let pid = self.child.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
-        pid.map_or(Ok(()), |pid| Ok(kill_process(pid, signal)?))
+        self.id().map_or(Ok(()), |pid| Ok(kill_process(pid, signal)?))
+    }
+
+    /// Returns the id of the process; `None` if its exit was observed.
+    pub fn id(&self) -> Option<Pid> {
+        self.child.id().and_then(|id| Pid::from_raw(i32::try_from(id).ok()?))
     }
 
     /// Waits for the exit of the process; returns `None` if it is still running after `limit`.
--- a/lab/src/stand_in/platform_upstream.rs
+++ b/lab/src/stand_in/platform_upstream.rs
@@ -55,8 +55,8 @@
 ///
 /// The last segment of the request path selects its behaviour: `foreign` (mismatched response), `unsigned`, `cut`,
 /// `extra`, `reset`, `unframed`, `shed`, `shed-again` and `shed-again-named` (a refusal, without and with the request's id, that is
-/// written once more when the next request arrives), `cut-head-N` (only N bytes of the response's head), `slow`, `work-N` (a service time of N ms), `large` or `crash` (the
-/// upstream ends), or, for bytes until the node closes the connection,
+/// written once more when the next request arrives), `cut-head-N` (only N bytes of the response's head), `slow`, `work-N` (a service time of N ms), `large`, `bytes-N` (a body of N bytes), `status-S` (a response with the text S as its status)
+/// or `crash` (the upstream ends), or, for bytes until the node closes the connection,
 /// `endless-head`, `endless-noise`, `endless-unsigned`, `endless-body` or `endless-extra`; any other segment gets a
 /// valid response.
 #[derive(Debug)]
@@ -307,6 +307,17 @@
                 socket.write_all(&valid[..length]).await?;
                 return Ok(false);
             }
+            sized if sized.starts_with("bytes-") => {
+                let bytes = sized.trim_start_matches("bytes-").parse().unwrap_or(0);
+                let valid = response("200 OK", &signed, &".".repeat(bytes));
+                socket.write_all(&valid).await.inspect_err(|_e| {
+                    self.cancelled.fetch_add(1, Ordering::SeqCst);
+                })?;
+            }
+            odd if odd.starts_with("status-") => {
+                let status = odd.trim_start_matches("status-");
+                socket.write_all(&response(&format!("{status} Odd"), &signed, "odd")).await?;
+            }
             "crash" => {
                 self.stop();
                 return Ok(false);
@@ -469,6 +480,12 @@
             }
             let size = req.headers.get("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
             req.body = buf.split_off(length);
+            if req.headers.contains_key("transfer-encoding") {
+                let encoded = std::mem::take(&mut req.body);
+                return Ok(read_chunks(socket, encoded)
+                    .await?
+                    .map(|body| ReceivedRequest { body, ..req }));
+            }
             while req.body.len() < size {
                 if socket.read_buf(&mut req.body).await? == 0 {
                     return Ok(None);
@@ -481,3 +498,29 @@
         }
     }
 }
+
+/// Reads a chunked body of which `buf` has arrived; returns `None` when the connection closes before it is complete.
+async fn read_chunks(socket: &mut TcpStream, mut buf: Vec<u8>) -> std::io::Result<Option<Vec<u8>>> {
+    let mut body = Vec::new();
+    loop {
+        let mut start = 0;
+        while let Ok(httparse::Status::Complete((head, size))) =
+            httparse::parse_chunk_size(&buf[start..])
+        {
+            let (from, size) = (start + head, usize::try_from(size).unwrap_or(usize::MAX));
+            let end = from.saturating_add(size).saturating_add(2);
+            if end > buf.len() {
+                break;
+            }
+            body.extend_from_slice(&buf[from..from + size]);
+            start = end;
+            if size == 0 {
+                return Ok(Some(body));
+            }
+        }
+        buf.drain(..start);
+        if socket.read_buf(&mut buf).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
