Bound the connections of every listener

Under more connections than a process may have descriptors, nobody was accepted any more: ordinary callers, readiness and the admin address waited until others closed.

Cause: each listener accepted without a bound, so idle and unfinished connections took the descriptors that the upstream, other nodes and the store need.

Each listener now has a bound, a part of the process's descriptors (`--descriptors`, by default the limit of the system; for callers half of them, or one for each 128 KiB of `--memory`, or `--caller-connections`). At its bound it closes the connection that has waited longest for its peer; one whose call runs stays. With all of them at work it accepts again when one ends. A failed accept closes one as well and then waits. Metrics `connections` and `evictions`, a line `holder that makes no progress gives way`.

--- a/pistachiolane/src/cli/args.rs
+++ b/pistachiolane/src/cli/args.rs
@@ -227,6 +227,34 @@
         help = "time within which the evacuation of a zone must hold; without it, none is watched for"
     )]
     pub evacuation_timeout: Option<String>,
+    /// Memory that the process may use.
+    #[options(
+        no_short,
+        meta = "MIB",
+        help = "memory that the process may use (that of the machine)"
+    )]
+    pub memory: Option<String>,
+    /// Memory that the process holds for its peers.
+    #[options(
+        no_short,
+        meta = "MIB",
+        help = "memory for bodies that are held (a quarter of --memory)"
+    )]
+    pub buffer_memory: Option<String>,
+    /// Descriptors that the process may open.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "descriptors that the process may open (the limit of the system)"
+    )]
+    pub descriptors: Option<String>,
+    /// Connections of callers.
+    #[options(
+        no_short,
+        meta = "N",
+        help = "most connections of callers (half of --descriptors, or one for each 128 KiB of --memory)"
+    )]
+    pub caller_connections: Option<String>,
     /// Log level.
     #[options(no_short, meta = "LEVEL", help = "error, warn, info, debug or trace (info)")]
     pub log_level: Option<String>,
@@ -268,6 +296,10 @@
             "evacuation-timeout" => &self.evacuation_timeout,
             "log-level" => &self.log_level,
             "stop-timeout" => &self.stop_timeout,
+            "memory" => &self.memory,
+            "buffer-memory" => &self.buffer_memory,
+            "descriptors" => &self.descriptors,
+            "caller-connections" => &self.caller_connections,
             _ => &None,
         };
         value.clone()
--- a/pistachiolane/src/limits/mod.rs
+++ b/pistachiolane/src/limits/mod.rs
@@ -8,6 +8,7 @@
 mod cold_state;
 mod entry_throttle;
 mod gate;
+pub mod held;
 mod platform_share;
 mod quantile;
 mod retry_after;
--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -313,6 +313,11 @@
     limit_refusals: Cases,
     /// Limits that this node owns.
     limits_owned: Gauge,
+    /// Open connections that other processes have made to this one, by listener.
+    connections: Family<Case, Gauge>,
+    /// Bodies and connections ended because a bound on memory, slots or connections was reached and they made no progress,
+    /// by kind.
+    evictions: Cases,
     /// Invariant violations since the process started.
     invariant_violations: Gauge,
 }
@@ -335,6 +340,11 @@
         cases.get_or_create(&Case { case }).inc();
     }
 
+    /// Returns the gauge of a case.
+    pub fn gauge(cases: &Family<Case, Gauge>, case: &'static str) -> Gauge {
+        cases.get_or_create(&Case { case }).clone()
+    }
+
     /// Returns the count of a case.
     pub fn get(cases: &Cases, case: &'static str) -> u64 {
         cases.get_or_create(&Case { case }).get()
--- a/pistachiolane/src/node/admin/admin_server.rs
+++ b/pistachiolane/src/node/admin/admin_server.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::node::{
-        accept::accept,
+        accept::BoundedListener,
         admin::{
             operator::{ChangeReport, ChangeRequest, change, document},
             status,
@@ -53,19 +53,22 @@
 
     /// Accepts and serves connections until its task is dropped.
     pub async fn serve(self, listener: TcpListener) {
+        let max_connections = self.shared.settings.resources.service_connections();
+        let listener =
+            BoundedListener::new(listener, "admin", max_connections, Arc::clone(&self.shared));
         loop {
-            let socket = accept(&listener, "admin").await;
+            let (socket, place) = listener.accept().await;
             let admin = self.clone();
             let service = service_fn(move |req| {
                 let admin = admin.clone();
                 async move { Ok::<_, Infallible>(admin.handle_request(req).await) }
             });
-            tokio::spawn(async move {
+            tokio::spawn(place.run(async move {
                 let mut http = hyper::server::conn::http1::Builder::new();
                 http.timer(TokioTimer::new()).header_read_timeout(HEADER_READ_TIMEOUT);
                 // A failed admin connection affects no other connection.
                 let _ignored = http.serve_connection(TokioIo::new(socket), service).await;
-            });
+            }));
         }
     }
 
--- a/pistachiolane/src/node/control/control_service.rs
+++ b/pistachiolane/src/node/control/control_service.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::node::{
-        accept::accept,
+        accept::BoundedListener,
         control::{control_loop::ControlHandle, postcard_codec::PostcardCodec},
         gate::gate_server::GateServer,
         shared::Shared,
@@ -68,9 +68,12 @@
 
     /// Accepts and serves connections until its task is dropped.
     pub async fn serve(self, listener: TcpListener) {
+        let max_connections = self.shared.settings.resources.control_connections();
+        let listener =
+            BoundedListener::new(listener, "control", max_connections, Arc::clone(&self.shared));
         loop {
-            let socket = accept(&listener, "control").await;
-            tokio::spawn(self.clone().serve_connection(socket));
+            let (socket, place) = listener.accept().await;
+            tokio::spawn(place.run(self.clone().serve_connection(socket)));
         }
     }
 
--- a/pistachiolane/src/node/entry/caller_socket.rs
+++ b/pistachiolane/src/node/entry/caller_socket.rs
@@ -6,6 +6,9 @@
 //! behind them.
 
 use {
+    crate::{
+        node::{bounded_connection::BoundedConnection, shared::Shared},
+    },
     bytes::{Buf, BytesMut},
     hyper::{
         Request, Version,
@@ -59,6 +62,8 @@
     head_timeout: Duration,
     /// Timer of the incomplete head, if there is one.
     head_timer: Option<Pin<Box<Sleep>>>,
+    connection: Arc<BoundedConnection>,
+    shared: Arc<Shared>,
 }
 
 /// Caller's socket as the HTTP server uses it.
@@ -76,7 +81,12 @@
 impl CallerSocket {
     /// Creates the socket for the HTTP server and the lookahead on it. The connection ends if a
     /// head takes longer than `head_timeout`.
-    pub fn new(stream: TcpStream, head_timeout: Duration) -> (Self, RequestLookahead) {
+    pub fn new(
+        stream: TcpStream,
+        head_timeout: Duration,
+        connection: Arc<BoundedConnection>,
+        shared: Arc<Shared>,
+    ) -> (Self, RequestLookahead) {
         let inner = Inner {
             stream,
             buffer: BytesMut::new(),
@@ -87,6 +97,8 @@
             ended: None,
             head_timeout,
             head_timer: None,
+            connection,
+            shared,
         };
         let inner = Arc::new(Mutex::new(inner));
         (Self { inner: Arc::clone(&inner) }, RequestLookahead { inner })
@@ -136,6 +148,8 @@
             Ok(()) if buf.filled().is_empty() => self.ended = Some(Ok(())),
             Ok(()) => {
                 self.buffer.extend_from_slice(buf.filled());
+                let now = self.shared.now();
+                self.connection.record_progress(now);
                 self.scan();
             }
             Err(e) => self.ended = Some(Err(e)),
@@ -179,6 +193,15 @@
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
     }
 
+    /// Records whether the caller takes bytes.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        let now = self.shared.now();
+        match written {
+            Poll::Ready(_) => self.connection.record_progress(now),
+            Poll::Pending => self.connection.holder().record_wait(now),
+        }
+    }
+
     /// Returns how many bytes the HTTP server may read now, at most up to the end of the current
     /// request.
     fn available(&self) -> usize {
@@ -290,7 +313,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner().stream).poll_write(cx, buf)
+        let mut inner = self.inner();
+        let written = Pin::new(&mut inner.stream).poll_write(cx, buf);
+        inner.record_write(&written);
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -310,6 +336,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner().stream).poll_write_vectored(cx, bufs)
+        let mut inner = self.inner();
+        let written = Pin::new(&mut inner.stream).poll_write_vectored(cx, bufs);
+        inner.record_write(&written);
+        written
     }
 }
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::node::{
-        accept::accept,
+        accept::BoundedListener,
         body::{Body, PrefixedBody, TimedBody, stream},
+        bounded_connection::BoundedConnection,
         entry::{
             attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
             authentication::KeyFault,
@@ -157,16 +158,20 @@
 
     /// Accepts callers' connections until the node shuts down.
     pub async fn serve(self, listener: TcpListener) {
-        let stopping = self.driver.shared.stopping.clone();
+        let shared = &self.driver.shared;
+        let stopping = shared.stopping.clone();
+        let max_connections = shared.settings.resources.caller_connections;
+        let listener =
+            BoundedListener::new(listener, "callers", max_connections, Arc::clone(shared));
         loop {
             tokio::select! {
-                socket = accept(&listener, "callers") => self.spawn_connection(socket),
+                (socket, connection) = listener.accept() => self.spawn_connection(socket, connection),
                 () = stopping.cancelled() => return,
             }
         }
     }
 
-    fn spawn_connection(&self, socket: TcpStream) {
+    fn spawn_connection(&self, socket: TcpStream, connection: Arc<BoundedConnection>) {
         if let Err(e) = set_socket_options(&socket) {
             log::debug!(
                 target: "entry",
@@ -176,18 +181,28 @@
         }
         let entry = self.clone();
         let shared = Arc::clone(&self.driver.shared);
-        self.driver.shared.work.spawn(async move { entry.serve_connection(socket, &shared).await });
+        self.driver.shared.work.spawn(async move {
+            let served = entry.serve_connection(socket, &shared, &connection);
+            Arc::clone(&connection).run(served).await;
+        });
     }
 
-    async fn serve_connection(self, socket: TcpStream, shared: &Shared) {
+    async fn serve_connection(
+        self,
+        socket: TcpStream,
+        shared: &Arc<Shared>,
+        connection: &Arc<BoundedConnection>,
+    ) {
         let limits = caller_limits(shared);
         let ms = |ms: u32| Duration::from_millis(u64::from(ms));
         let head_timeout = ms(limits.header_timeout_ms);
-        let (socket, lookahead) = CallerSocket::new(socket, head_timeout);
+        let (socket, lookahead) =
+            CallerSocket::new(socket, head_timeout, Arc::clone(connection), Arc::clone(shared));
         let pipeline = Pipeline::new(lookahead);
         let service = service_fn(|req: Request<Incoming>| {
             let (entry, pipeline) = (self.clone(), pipeline.clone());
-            async move { Ok::<_, Infallible>(entry.handle_request(req, &pipeline).await) }
+            let connection = Arc::clone(connection);
+            async move { Ok::<_, Infallible>(entry.handle_request(req, &pipeline, &connection).await) }
         });
         let head_bytes = limits.max_header_bytes.max(MIN_HEAD_LIMIT_BYTES);
         let mut http = auto::Builder::new(TokioExecutor::new());
@@ -216,20 +231,26 @@
         let _ended = http_connection.await;
     }
 
-    async fn handle_request(&self, req: Request<Incoming>, pipeline: &Pipeline) -> Response<Body> {
+    async fn handle_request(
+        &self,
+        req: Request<Incoming>,
+        pipeline: &Pipeline,
+        connection: &Arc<BoundedConnection>,
+    ) -> Response<Body> {
         let shared = &self.driver.shared;
         let started = shared.now();
         let id = request_id(shared, req.headers());
         let call = async {
             if let Some(early_call) = pipeline.take_early_call(&req) {
+                let _call = connection.start_call();
                 return early_call.response().await.unwrap_or_else(lost_early_response);
             }
             let (parts, body) = req.into_parts();
-            self.handle_call(parts, Some(body), &id, started).await
+            self.handle_call(parts, Some(body), connection, &id, started).await
         };
         let mut res = tokio::select! {
             res = call => res,
-            () = pipeline.run_early_calls(|head| self.start_early(head)) => {
+            () = pipeline.run_early_calls(|head| self.start_early(head, connection)) => {
                 Metrics::count(&shared.metrics.calls, "caller-left");
                 let elapsed_ms = shared.now().since(started).as_millis() as u64;
                 log::info!(
@@ -248,7 +269,11 @@
     /// Starts a pipelined call while an earlier request is still served. Only idempotent work is
     /// started early, because a caller that loses the response sends the request again. A request that would be
     /// rejected isn't started either: the settings that are in force at its turn decide on it.
-    fn start_early(&self, head: &Request<()>) -> Option<EarlyCall> {
+    fn start_early(
+        &self,
+        head: &Request<()>,
+        connection: &Arc<BoundedConnection>,
+    ) -> Option<EarlyCall> {
         let shared = &self.driver.shared;
         let (parts, ()) = head.clone().into_parts();
         let route = ResolvedRoute::for_request(shared, &parts).ok()?;
@@ -257,8 +282,8 @@
         }
         let started = shared.now();
         let id = request_id(shared, &parts.headers);
-        let entry = self.clone();
-        let call = async move { entry.handle_call(parts, None, &id, started).await };
+        let (entry, connection) = (self.clone(), Arc::clone(connection));
+        let call = async move { entry.handle_call(parts, None, &connection, &id, started).await };
         Some(EarlyCall::new(tokio::spawn(call)))
     }
 
@@ -266,11 +291,12 @@
         &self,
         head: Parts,
         body: Option<Incoming>,
+        connection: &Arc<BoundedConnection>,
         id: &str,
         started: Tick,
     ) -> Response<Body> {
         let shared = &self.driver.shared;
-        match self.route_call(head, body, id, started).await {
+        match self.route_call(head, body, connection, id, started).await {
             Ok(res) => res,
             Err(rejection) => {
                 Metrics::count(&shared.metrics.calls, "rejected");
@@ -315,6 +341,7 @@
         &self,
         head: Parts,
         mut body: Option<Incoming>,
+        connection: &Arc<BoundedConnection>,
         id: &str,
         started: Tick,
     ) -> Result<Response<Body>, Rejection> {
@@ -331,6 +358,7 @@
         };
         let caller_budget = headers::parse_number(&head.headers, &shared.dialect.budget_ms);
         let (mut spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
+        let _call = connection.start_call();
         // Its body may have arrived late.
         if !shared.has_time_for(route.class) {
             if let Some(token) = token {
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::node::{
-        accept::accept,
+        accept::BoundedListener,
         body::{Body, GuardedBody, full, stream},
+        bounded_connection::BoundedConnection,
         gate::{
             cold_upstream::assume_cold,
             crash_detector::CrashDetector,
@@ -173,14 +174,20 @@
 
     /// Accepts and serves connections of other nodes until its task is dropped.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
+        let max_connections = self.shared.settings.resources.gate_connections();
+        let listener =
+            BoundedListener::new(listener, "gate", max_connections, Arc::clone(&self.shared));
         loop {
-            let socket = accept(&listener, "gate").await;
+            let (socket, connection) = listener.accept().await;
             if let Err(e) = configure(&socket) {
                 log::debug!(target: "gate", "cannot configure a connection, closing it: {e}");
                 continue;
             }
             let gate = Arc::clone(&self);
-            self.open_connections.spawn(async move { gate.serve_connection(socket).await });
+            self.open_connections.spawn(async move {
+                let served = gate.serve_connection(socket, &connection);
+                Arc::clone(&connection).run(served).await;
+            });
         }
     }
 
@@ -200,14 +207,23 @@
         }
     }
 
-    async fn serve_connection(self: Arc<Self>, socket: TcpStream) {
+    async fn serve_connection(
+        self: Arc<Self>,
+        socket: TcpStream,
+        connection: &Arc<BoundedConnection>,
+    ) {
         let retired = CancellationToken::new();
         let has_received_request = AtomicBool::new(false);
         let service = service_fn(|req: Request<Incoming>| {
             let gate = Arc::clone(&self);
             let retired = retired.clone();
             has_received_request.store(true, Ordering::Relaxed);
-            async move { Ok::<_, Infallible>(gate.handle_request(req, &retired).await) }
+            let call = connection.start_call();
+            async move {
+                let res = gate.handle_request(req, &retired).await;
+                drop(call);
+                Ok::<_, Infallible>(res)
+            }
         });
         let mut http = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
         http.timer(TokioTimer::new())
--- a/pistachiolane/src/node/mod.rs
+++ b/pistachiolane/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod admin;
 mod body;
+mod bounded_connection;
 mod control;
 mod dialect;
 mod entry;
@@ -17,7 +18,8 @@
 mod socket_options;
 
 pub use {
-    accept::accept,
+    accept::BoundedListener,
+    bounded_connection::{BoundedConnection, ConnectionCall},
     dialect::HeaderDialect,
     error::NodeError,
     integration::{EvacuationsWatch, Integration, SettingsWatch},
--- a/pistachiolane/src/node/node_handle.rs
+++ b/pistachiolane/src/node/node_handle.rs
@@ -2,9 +2,12 @@
 
 use {
     crate::membership::UpstreamEvent,
-    crate::node::shared::Shared,
+    crate::node::{accept::BoundedListener, shared::Shared},
     std::sync::Arc,
-    tokio::sync::{mpsc, oneshot},
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, oneshot},
+    },
 };
 
 /// Event of the local upstream, with the channel on which its application is reported.
@@ -24,6 +27,12 @@
         self.shared.is_ready() && !self.shared.draining()
     }
 
+    /// Bounds the connections of a listener for the host's services; `name` identifies it in the log and the metrics.
+    pub fn bounded_listener(&self, listener: TcpListener, name: &'static str) -> BoundedListener {
+        let max_connections = self.shared.settings.resources.service_connections();
+        BoundedListener::new(listener, name, max_connections, Arc::clone(&self.shared))
+    }
+
     /// Applies an event of the local upstream. Returns `true` once it is in force at the gate, and
     /// `false` if the node is shutting down.
     pub async fn announce(&self, event: UpstreamEvent) -> bool {
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -12,7 +12,11 @@
     crate::{
         attempt::Admission,
         config::{LastRead, SettingsAge, SettingsTree},
-        limits::{ServiceTimes, TokenBucket, shared::LimitTable},
+        limits::{
+            ServiceTimes, TokenBucket,
+            held::Holder,
+            shared::LimitTable,
+        },
         metrics::Metrics,
         recovery::Quarantine,
         routing::{EvacuatedZones, RoutingTable},
@@ -42,6 +46,10 @@
 /// Load probes per second until settings are in force.
 const DEFAULT_PROBES_PER_SECOND: u64 = 20;
 
+/// Log lines per second on holders that give way, and their burst. The metrics count all.
+const MEMORY_LOG_LINES_PER_SECOND: u64 = 5;
+const MEMORY_LOG_BURST: u64 = 20;
+
 /// Percentage of the fleet's retry reserve that is distributed to the nodes; the rest covers the
 /// calls that retries cause.
 const DISTRIBUTED_RESERVE_PERCENT: u64 = 75;
@@ -100,6 +108,8 @@
     pub hops: Hops,
     /// Number of attempts that this entry has created; the source of their sequence numbers.
     pub attempt_sequence: AtomicU64,
+    /// Log lines on holders that give way.
+    pub memory_log: TokenBucket,
     /// Budget of load probes.
     pub probes: TokenBucket,
     /// Budget of bytes that are sent to other regions.
@@ -187,6 +197,7 @@
             cold_check: Notify::new(),
             hops: Hops::default(),
             attempt_sequence: AtomicU64::new(0),
+            memory_log: TokenBucket::new(MEMORY_LOG_LINES_PER_SECOND, MEMORY_LOG_BURST),
             probes: TokenBucket::new(DEFAULT_PROBES_PER_SECOND, DEFAULT_PROBES_PER_SECOND),
             inter_region_bytes: TokenBucket::new(
                 DEFAULT_INTER_REGION_BYTES_PER_SECOND,
@@ -310,6 +321,18 @@
         self.now() + expected <= self.calls_end_at()
     }
 
+    /// Counts and logs a holder that gives way because a bound is reached.
+    pub fn record_eviction(&self, holder: &Holder) {
+        Metrics::count(&self.metrics.evictions, holder.kind);
+        if !self.memory_log.try_take(self.now(), 1) {
+            return;
+        }
+        log::info!(
+            target: "memory", kind = holder.kind, bytes = holder.bytes();
+            "holder that makes no progress gives way"
+        );
+    }
+
     /// Converts a tick to an instant of the runtime.
     pub fn instant(&self, at: Tick) -> Instant {
         self.started + Duration::from_micros(at.0)
--- a/pistachiolane/src/settings/mod.rs
+++ b/pistachiolane/src/settings/mod.rs
@@ -3,11 +3,13 @@
 mod derived_settings;
 mod file;
 mod process;
+mod resources;
 mod tunables;
 
 pub use {
     derived_settings::DerivedSettings,
     file::{FileError, SettingsFile},
     process::{Interface, ProcessSettings, SettingsError, SettingsSource},
+    resources::Resources,
     tunables::Tunables,
 };
--- a/pistachiolane/src/settings/process.rs
+++ b/pistachiolane/src/settings/process.rs
@@ -1,7 +1,7 @@
 //! Settings of a node process: collected, completed with defaults and validated together.
 
 use {
-    super::Tunables,
+    super::{Resources, Tunables},
     crate::schema::FleetKey,
     std::{fmt, net::SocketAddr, str::FromStr, sync::Arc, time::Duration},
 };
@@ -56,6 +56,8 @@
     /// Time within which the evacuation of a zone must hold; `None` if the deployment has no evacuations, and the
     /// store is not asked for them.
     pub evacuation_timeout: Option<Duration>,
+    /// Memory and descriptors of the process, and the shares of them that peers may hold.
+    pub resources: Resources,
     /// Settings that can change while the node runs.
     pub tunables: Tunables,
 }
@@ -133,6 +135,7 @@
             announce_listen: reader.optional_address("announce-listen"),
             service: reader.optional_name("service"),
             evacuation_timeout: reader.optional_duration("evacuation-timeout"),
+            resources: Resources::read(&mut reader),
             tunables: Tunables::read(&mut reader),
         };
         settings.check_addresses(&mut reader.faults);
@@ -190,6 +193,16 @@
         self.parse(name, &text, expected).unwrap_or(default)
     }
 
+    /// Reads a whole number of at least 1, if it is set.
+    pub(super) fn optional_count(&mut self, name: &str, expected: &str) -> Option<u64> {
+        let text = self.find(name).filter(|t| !t.is_empty())?;
+        let count: Option<u64> = self.parse(name, &text, expected);
+        if count == Some(0) {
+            self.faults.push(format!("--{name}: `0` is not {expected}"));
+        }
+        count
+    }
+
     /// Reads an amount of money, 0 by default.
     pub(super) fn amount(&mut self, name: &str) -> f64 {
         let expected = "an amount of 0 or more, such as 0.01";
