Bound the bytes that a node holds for its peers

Callers saw the process beside them end, out of memory, and with it the requests of all others: many bodies of legal size at once, most of them one byte short of their end and open.

Cause: an entry buffers up to 512 KiB of each body, so that another attempt can send it again, with no sum over all of them, in buffers that double. A rejected body was read to its end into memory, up to 16 MiB. A gate accepted 16 MiB for each other node, and an entry responses of 1 MiB for each stream and 16 MiB for each node, whether or not its callers took them.

A lease gives the bytes back when dropped, so on each way out. Who has stalled longest, a second at least, gives way; while all move, the newcomer is refused as not run, and a quarter is left for small bodies. Discarded bodies are not kept, small pieces of streamed ones are joined. A response that nobody takes no longer closes the window between two nodes for others, as the budget bounds the sum instead.

--- a/pistachiolane/src/metrics.rs
+++ b/pistachiolane/src/metrics.rs
@@ -313,11 +313,15 @@
     limit_refusals: Cases,
     /// Limits that this node owns.
     limits_owned: Gauge,
+    /// Bytes held for peers: bodies of requests, and responses that are not taken yet.
+    held_bytes: Gauge,
     /// Open connections that other processes have made to this one, by listener.
     connections: Family<Case, Gauge>,
     /// Bodies and connections ended because a bound on memory, slots or connections was reached and they made no progress,
     /// by kind.
     evictions: Cases,
+    /// Requests refused because the memory for bodies is used up, by what needed it.
+    buffer_refusals: Cases,
     /// Invariant violations since the process started.
     invariant_violations: Gauge,
 }
--- a/pistachiolane/src/node/admin/admin_server.rs
+++ b/pistachiolane/src/node/admin/admin_server.rs
@@ -107,6 +107,8 @@
     fn metrics(&self) -> Response<Body> {
         let violations = i64::try_from(invariants::violations()).unwrap_or(i64::MAX);
         self.shared.metrics.invariant_violations.set(violations);
+        let held = i64::try_from(self.shared.held_bytes.held()).unwrap_or(i64::MAX);
+        self.shared.metrics.held_bytes.set(held);
         self.shared.metrics.text().map_or_else(
             |e| responses::text(StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
             |text| responses::text(StatusCode::OK, text),
--- a/pistachiolane/src/node/entry/caller_socket.rs
+++ b/pistachiolane/src/node/entry/caller_socket.rs
@@ -7,7 +7,9 @@
 
 use {
     crate::{
+        limits::held::{Holder, Lease},
         node::{bounded_connection::BoundedConnection, shared::Shared},
+        tick::Tick,
     },
     bytes::{Buf, BytesMut},
     hyper::{
@@ -62,6 +64,8 @@
     head_timeout: Duration,
     /// Timer of the incomplete head, if there is one.
     head_timer: Option<Pin<Box<Sleep>>>,
+    /// Memory of `buffer` beyond one read.
+    lease: Option<Lease>,
     connection: Arc<BoundedConnection>,
     shared: Arc<Shared>,
 }
@@ -97,6 +101,7 @@
             ended: None,
             head_timeout,
             head_timer: None,
+            lease: None,
             connection,
             shared,
         };
@@ -150,6 +155,7 @@
                 self.buffer.extend_from_slice(buf.filled());
                 let now = self.shared.now();
                 self.connection.record_progress(now);
+                self.count_buffer(now);
                 self.scan();
             }
             Err(e) => self.ended = Some(Err(e)),
@@ -157,6 +163,24 @@
         Poll::Ready(())
     }
 
+    /// Counts the memory of the buffer in the budget of the process, unless it is that of one read.
+    fn count_buffer(&mut self, now: Tick) {
+        let capacity = self.buffer.capacity() as u64;
+        if capacity <= READ_BYTES as u64 {
+            return;
+        }
+        let lease = self.lease.get_or_insert_with(|| {
+            let eviction = self.connection.holder().eviction().clone();
+            let holder = Holder::new("request head").with_eviction(eviction);
+            Lease::new(&self.shared.held_bytes, holder)
+        });
+        lease.holder().record_work();
+        let more = capacity.saturating_sub(lease.holder().bytes());
+        if let Some(evicted) = lease.force(more, now).filter(|_| more > 0) {
+            self.shared.record_eviction(&evicted);
+        }
+    }
+
     /// Parses the complete heads in the buffer.
     fn scan(&mut self) {
         while !self.passthrough && self.scanned < self.buffer.len() as u64 {
@@ -184,6 +208,9 @@
         if self.passthrough || self.scanned >= self.buffer.len() as u64 {
             return Poll::Pending;
         }
+        if let Some(lease) = &self.lease {
+            lease.holder().record_wait(self.shared.now());
+        }
         let timeout = self.head_timeout;
         ready!(self.head_timer.get_or_insert_with(|| Box::pin(sleep(timeout))).as_mut().poll(cx));
         log::info!(
@@ -214,6 +241,9 @@
 
     fn consume(&mut self, count: usize) {
         self.buffer.advance(count);
+        if self.buffer.is_empty() && self.lease.take().is_some() {
+            self.buffer = BytesMut::new();
+        }
         self.scanned = self.scanned.saturating_sub(count as u64);
         if let Some(length) = self.request_lengths.front_mut() {
             *length -= count as u64;
--- a/pistachiolane/src/node/entry/entry_server.rs
+++ b/pistachiolane/src/node/entry/entry_server.rs
@@ -8,18 +8,24 @@
         entry::{
             attempt_driver::{AttemptDriver, CallResult, OutgoingBody, OutgoingRequest},
             authentication::KeyFault,
+            body_buffer::{self, BodyBuffer},
             caller_socket::CallerSocket,
+            held_response::HeldResponse,
             hop::probe_request,
             limit_check::LimitToken,
             pipeline::{EarlyCall, Pipeline},
             resolved_route::{ResolvedRoute, RouteFault},
+            streamed_body::{STREAM_BYTES, StreamedBody},
         },
         headers, responses,
         shared::Shared,
     },
     crate::{
         attempt::{CallSpec, NotRunReason, Outcome},
-        limits::CallUrgency,
+        limits::{
+            CallUrgency,
+            held::{Holder, Lease, NoRoom},
+        },
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         routing::{
@@ -29,7 +35,7 @@
         schema::{CallerLimits, WorkKind},
         tick::Tick,
     },
-    bytes::{Bytes, BytesMut},
+    bytes::Bytes,
     http_body_util::{BodyExt, Limited},
     hyper::{
         HeaderMap, Request, Response, StatusCode,
@@ -64,6 +70,12 @@
 /// Smallest limit on the size of a request head that the HTTP server accepts.
 const MIN_HEAD_LIMIT_BYTES: u32 = 8 << 10;
 
+/// Most requests at once on one HTTP/2 connection of a caller.
+const MAX_CALLER_STREAMS: u32 = 64;
+
+/// Bytes of a request or a response that are on the way on an HTTP/2 connection of a caller.
+const CALLER_STREAM_WINDOW_BYTES: u32 = 64 << 10;
+
 /// Time for which bytes sent to a caller may stay unacknowledged before its connection is closed.
 const CALLER_ACK_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -73,6 +85,9 @@
 /// `Retry-After` delay from a node that has not joined the fleet or loaded its settings yet, or that shuts down.
 const NOT_READY_DELAY: Duration = Duration::from_millis(500);
 
+/// `Retry-After` delay from a node whose memory for bodies is used up: bodies that make no progress give way after a second.
+const NO_ROOM_DELAY: Duration = Duration::from_secs(1);
+
 /// Route label in the metrics of calls that were rejected before a route was found.
 const NO_ROUTE: &str = "";
 
@@ -103,6 +118,10 @@
     BodyLost,
     #[error("the body did not come in time")]
     BodyLate,
+    #[error("the body stalled while others needed its memory")]
+    BodyStalled,
+    #[error("no memory is left for the body")]
+    NoRoom(#[from] NoRoom),
     #[error("calls are nested deeper than {MAX_CALL_DEPTH}")]
     TooDeep,
     #[error("the workspace has reached its limit")]
@@ -122,6 +141,8 @@
             Self::BodyTooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
             Self::BodyLost => (StatusCode::BAD_REQUEST, "body-lost"),
             Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, "body-late"),
+            Self::BodyStalled => (StatusCode::REQUEST_TIMEOUT, "body-stalled"),
+            Self::NoRoom(_) => (StatusCode::SERVICE_UNAVAILABLE, "no-memory"),
             Self::LimitReached { .. } => (StatusCode::TOO_MANY_REQUESTS, "limit"),
             Self::TooDeep => (StatusCode::LOOP_DETECTED, "too-deep"),
             Self::NotReady => (StatusCode::SERVICE_UNAVAILABLE, "not-ready"),
@@ -137,10 +158,16 @@
             Self::NotReady | Self::Stopping => {
                 responses::set_retry_after(&mut res, NOT_READY_DELAY, fractional);
             }
+            Self::NoRoom(_) => {
+                responses::set_retry_after(&mut res, NO_ROOM_DELAY, fractional);
+                responses::set_header(&mut res, &header::CONNECTION, "close");
+            }
             Self::LimitReached { retry_after } => {
                 responses::set_retry_after(&mut res, *retry_after, fractional);
             }
-            Self::BodyLate => responses::set_header(&mut res, &header::CONNECTION, "close"),
+            Self::BodyLate | Self::BodyStalled => {
+                responses::set_header(&mut res, &header::CONNECTION, "close");
+            }
             Self::Unauthorized(_) => {
                 responses::set_header(&mut res, &header::WWW_AUTHENTICATE, "Bearer");
             }
@@ -213,7 +240,13 @@
             .header_read_timeout(ms(limits.idle_timeout_ms) + head_timeout)
             .max_buf_size(head_bytes as usize)
             .half_close(false);
-        http.http2().timer(TokioTimer::new()).max_header_list_size(head_bytes);
+        http.http2()
+            .timer(TokioTimer::new())
+            .max_header_list_size(head_bytes)
+            .max_concurrent_streams(MAX_CALLER_STREAMS)
+            .initial_stream_window_size(CALLER_STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CALLER_STREAM_WINDOW_BYTES * 4)
+            .max_send_buf_size(CALLER_STREAM_WINDOW_BYTES as usize);
         let http_connection = http.serve_connection(socket, service);
         tokio::pin!(http_connection);
         // An error on one caller's connection affects nothing else, so it is ignored.
@@ -277,7 +310,9 @@
         let shared = &self.driver.shared;
         let (parts, ()) = head.clone().into_parts();
         let route = ResolvedRoute::for_request(shared, &parts).ok()?;
-        if route.policy.kind != WorkKind::Idempotent || shared.draining() {
+        let is_idempotent = route.policy.kind == WorkKind::Idempotent;
+        // Its response may have to wait for those of earlier requests.
+        if !is_idempotent || shared.draining() || !shared.held_bytes.has_room_ahead() {
             return None;
         }
         let started = shared.now();
@@ -357,7 +392,7 @@
             }
         };
         let caller_budget = headers::parse_number(&head.headers, &shared.dialect.budget_ms);
-        let (mut spec, outgoing) = self.prepare_call(&route, head, body, started).await?;
+        let (mut spec, outgoing) = self.prepare_call(&route, head, body, id, started).await?;
         let _call = connection.start_call();
         // Its body may have arrived late.
         if !shared.has_time_for(route.class) {
@@ -402,7 +437,7 @@
         }
         self.record_region_refusal(&result, id, &route);
         self.record_call(&result, id, &route, started, spec);
-        let res = self.build_response(result);
+        let res = HeldResponse::wrap(self.build_response(result), connection, shared);
         Ok(match caller_budget {
             Some(ms) if res.body().size_hint().exact().is_none() => {
                 let end = started + Duration::from_millis(ms) + RESPONSE_GRACE;
@@ -486,6 +521,7 @@
         route: &ResolvedRoute,
         mut parts: Parts,
         body: Option<Incoming>,
+        id: &str,
         started: Tick,
     ) -> Result<(CallSpec, OutgoingRequest), Rejection> {
         let shared = &self.driver.shared;
@@ -505,7 +541,13 @@
         let deadline = started + budget;
         let body = match body {
             Some(body) => {
-                buffer_or_stream(body, policy.max_body_bytes, deadline.since(shared.now())).await?
+                let time_limit = deadline.since(shared.now());
+                let read = buffer_or_stream(body, policy.max_body_bytes, time_limit, shared).await;
+                read.inspect_err(|e| {
+                    if matches!(e, Rejection::NoRoom(_)) {
+                        shared.record_no_room("request body", id);
+                    }
+                })?
             }
             None => OutgoingBody::Buffered(Bytes::new()),
         };
@@ -654,9 +696,17 @@
 /// Reads and discards the rest of a body, within limits, so that a caller that is still sending can
 /// receive the response.
 async fn discard(body: &mut Incoming) {
-    let limited = Limited::new(body, MAX_DISCARDED_BYTES);
+    let read = async {
+        let mut discarded = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+            if discarded > MAX_DISCARDED_BYTES {
+                return;
+            }
+        }
+    };
     // Closing the connection drops whatever exceeds the limits.
-    let _discarded = timeout(DISCARD_TIMEOUT, limited.collect()).await;
+    let _discarded = timeout(DISCARD_TIMEOUT, read).await;
 }
 
 /// Buffers a body, or streams it if it is too large for the buffer; a streamed one can be sent only
@@ -665,21 +715,42 @@
     mut body: Incoming,
     max_bytes: u64,
     time_limit: Duration,
+    shared: &Arc<Shared>,
 ) -> Result<OutgoingBody, Rejection> {
+    if body.is_end_stream() {
+        return Ok(OutgoingBody::Buffered(Bytes::new()));
+    }
     let size = body.size_hint();
     if size.lower() > max_bytes {
         discard(&mut body).await;
         return Err(Rejection::BodyTooLarge(max_bytes));
     }
-    let mut buf = BytesMut::new();
+    let mut buf = BodyBuffer::new(shared);
     if size.lower() <= MAX_BUFFERED_BODY_BYTES as u64 {
-        let read = timeout(time_limit, fill_buffer(&mut buf, &mut body, max_bytes)).await;
-        if read.map_err(|_e| Rejection::BodyLate)?? {
-            return Ok(OutgoingBody::Buffered(buf.freeze()));
+        let read = timeout(time_limit, fill_buffer(&mut buf, &mut body, max_bytes, shared)).await;
+        match read.map_err(|_e| Rejection::BodyLate)? {
+            Ok(true) => return Ok(OutgoingBody::Buffered(buf.freeze())),
+            Ok(false) => {}
+            Err(rejection) => {
+                // Nothing is held for a body that is only discarded.
+                drop(buf);
+                match rejection {
+                    Rejection::BodyTooLarge(_) | Rejection::NoRoom(_) => discard(&mut body).await,
+                    _ => {}
+                }
+                return Err(rejection);
+            }
         }
     }
     let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    let body = PrefixedBody::new(buf.freeze(), without_trailers(body));
+    let lease = Lease::new(&shared.held_bytes, Holder::new("streamed body"));
+    if let Err(no_room) = body_buffer::take(&lease, STREAM_BYTES, shared).await {
+        drop(buf);
+        discard(&mut body).await;
+        return Err(no_room.into());
+    }
+    let body = StreamedBody::new(without_trailers(body), lease, Arc::clone(shared)).boxed_unsync();
+    let body = PrefixedBody::new(buf.freeze(), body);
     Ok(OutgoingBody::Streamed(Some(Limited::new(body, max_bytes).boxed_unsync())))
 }
 
@@ -693,19 +764,23 @@
 /// Reads a body into `buf` until it ends or exceeds [`MAX_BUFFERED_BODY_BYTES`]; returns whether it
 /// ended.
 async fn fill_buffer(
-    buf: &mut BytesMut,
+    buf: &mut BodyBuffer,
     body: &mut Incoming,
     max_bytes: u64,
+    shared: &Shared,
 ) -> Result<bool, Rejection> {
     while buf.len() <= MAX_BUFFERED_BODY_BYTES {
-        let Some(frame) = body.frame().await else {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = buf.evicted() => return Err(Rejection::BodyStalled),
+        };
+        let Some(frame) = frame else {
             return Ok(true);
         };
         if let Ok(data) = frame.map_err(|_e| Rejection::BodyLost)?.into_data() {
-            buf.extend_from_slice(&data);
+            buf.push(&data, shared).await?;
         }
         if buf.len() as u64 > max_bytes {
-            discard(body).await;
             return Err(Rejection::BodyTooLarge(max_bytes));
         }
     }
--- a/pistachiolane/src/node/entry/hop.rs
+++ b/pistachiolane/src/node/entry/hop.rs
@@ -40,8 +40,12 @@
 /// Most tries to send a request; the second uses a new connection if the first one has just closed.
 const MAX_SEND_TRIES: usize = 2;
 
-/// Receive window of a stream in bytes; the window of a connection is 16 times as large.
-const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+/// Receive window of a stream in bytes. Each response takes it from the budget of the process.
+pub const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+
+/// Receive window of a connection in bytes. The budget bounds the sum of its streams, so that a response that nobody
+/// takes does not hold up those of other callers.
+const CONNECTION_WINDOW_BYTES: u32 = 1 << 30;
 
 /// Reason why a request to a gate has no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -176,7 +180,7 @@
             .keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
             .initial_stream_window_size(STREAM_WINDOW_BYTES)
-            .initial_connection_window_size(STREAM_WINDOW_BYTES * 16);
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES);
         http.handshake(TokioIo::new(socket)).await.ok()
     });
     let (sender, connection) = connected.await.ok().flatten().ok_or(HopError::Unsent)?;
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -18,7 +18,11 @@
     },
     crate::{
         attempt::{AttemptDecision, Ticket},
-        limits::{QueueKey, RefusalReason, abandoned_run_time, refusal_margin},
+        limits::{
+            QueueKey, RefusalReason, abandoned_run_time,
+            held::{Grant, Holder, Lease, NoRoom, SMALL_BYTES},
+            refusal_margin,
+        },
         metrics::Metrics,
         recovery::{Fingerprint, Suspicion},
         schema::{Announcement, AttemptHeader, FleetKey, WireError},
@@ -221,8 +225,12 @@
             let call = connection.start_call();
             async move {
                 let res = gate.handle_request(req, &retired).await;
-                drop(call);
-                Ok::<_, Infallible>(res)
+                // A large response is on its way for a while.
+                let is_small = res.body().size_hint().upper().is_some_and(|n| n <= SMALL_BYTES);
+                if is_small {
+                    return Ok::<_, Infallible>(res);
+                }
+                Ok(res.map(|body| GuardedBody::new(body, call, drop).boxed_unsync()))
             }
         });
         let mut http = hyper::server::conn::http2::Builder::new(TokioExecutor::new());
@@ -267,9 +275,42 @@
         };
         let key = (attempt.id.entry, attempt.connection);
         self.connections.pin().get_or_insert_with(key, || retired.clone());
+        let Ok(_held) = self.hold_body(&attempt, req.body()) else {
+            return self.refuse(&attempt, RefusalReason::QueueFull);
+        };
         self.handle_attempt(attempt, req.map(stream)).await
     }
 
+    /// Takes the bytes of a body that may arrive before the upstream reads it, if it has one.
+    ///
+    /// # Errors
+    /// Fails if the budget of the process is used up.
+    fn hold_body(&self, attempt: &AttemptHeader, body: &Incoming) -> Result<Option<Lease>, NoRoom> {
+        let window = u64::from(STREAM_WINDOW_BYTES);
+        let bytes = match body.size_hint().upper() {
+            _ if body.is_end_stream() => 0,
+            upper => upper.unwrap_or(window).min(window),
+        };
+        if bytes == 0 {
+            return Ok(None);
+        }
+        let shared = &self.shared;
+        let now = shared.now();
+        // It never gives way, as its entry watches the caller.
+        let lease = Lease::new(&shared.held_bytes, Holder::new("attempt"));
+        match lease.take(bytes, now) {
+            Grant::Granted => return Ok(Some(lease)),
+            Grant::Pending(evicted) => {
+                if let Some(holder) = evicted {
+                    shared.record_eviction(&holder);
+                }
+            }
+            Grant::Refused => {}
+        }
+        shared.record_no_room("attempt", &attempt.name());
+        Err(NoRoom)
+    }
+
     fn handle_probe(&self) -> Response<Body> {
         let mut res = responses::text(StatusCode::OK, "");
         responses::attach_report(
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -14,7 +14,7 @@
         config::{LastRead, SettingsAge, SettingsTree},
         limits::{
             ServiceTimes, TokenBucket,
-            held::Holder,
+            held::{ByteBudget, Holder},
             shared::LimitTable,
         },
         metrics::Metrics,
@@ -46,7 +46,7 @@
 /// Load probes per second until settings are in force.
 const DEFAULT_PROBES_PER_SECOND: u64 = 20;
 
-/// Log lines per second on holders that give way, and their burst. The metrics count all.
+/// Log lines per second on holders that give way and bytes that are refused, and their burst. The metrics count all.
 const MEMORY_LOG_LINES_PER_SECOND: u64 = 5;
 const MEMORY_LOG_BURST: u64 = 20;
 
@@ -108,7 +108,9 @@
     pub hops: Hops,
     /// Number of attempts that this entry has created; the source of their sequence numbers.
     pub attempt_sequence: AtomicU64,
-    /// Log lines on holders that give way.
+    /// Budget of the bytes that are held for peers.
+    pub held_bytes: Arc<ByteBudget>,
+    /// Log lines on holders that give way and bytes that are refused.
     pub memory_log: TokenBucket,
     /// Budget of load probes.
     pub probes: TokenBucket,
@@ -183,6 +185,7 @@
     ) -> (Arc<Self>, mpsc::UnboundedReceiver<QueueItem>) {
         let (queue, items) = QueueHandle::new();
         let tunables = ArcSwap::from_pointee(settings.tunables);
+        let held_bytes = Arc::new(ByteBudget::new(settings.resources.buffer_bytes));
         let shared = Self {
             settings,
             node,
@@ -197,6 +200,7 @@
             cold_check: Notify::new(),
             hops: Hops::default(),
             attempt_sequence: AtomicU64::new(0),
+            held_bytes,
             memory_log: TokenBucket::new(MEMORY_LOG_LINES_PER_SECOND, MEMORY_LOG_BURST),
             probes: TokenBucket::new(DEFAULT_PROBES_PER_SECOND, DEFAULT_PROBES_PER_SECOND),
             inter_region_bytes: TokenBucket::new(
@@ -327,12 +331,26 @@
         if !self.memory_log.try_take(self.now(), 1) {
             return;
         }
+        let (held, limit) = (self.held_bytes.held(), self.held_bytes.limit());
         log::info!(
-            target: "memory", kind = holder.kind, bytes = holder.bytes();
+            target: "memory", kind = holder.kind, bytes = holder.bytes(), held, limit;
             "holder that makes no progress gives way"
         );
     }
 
+    /// Counts and logs bytes that are refused because their budget is used up.
+    pub fn record_no_room(&self, kind: &'static str, request: &str) {
+        Metrics::count(&self.metrics.buffer_refusals, kind);
+        if !self.memory_log.try_take(self.now(), 1) {
+            return;
+        }
+        let (held, limit) = (self.held_bytes.held(), self.held_bytes.limit());
+        log::info!(
+            target: "memory", request, kind, held, limit;
+            "no memory left in the budget, refused"
+        );
+    }
+
     /// Converts a tick to an instant of the runtime.
     pub fn instant(&self, at: Tick) -> Instant {
         self.started + Duration::from_micros(at.0)
