A stalled upload leaves its slot to requests that wait

Callers of an upstream were refused while others' uploads, too large to be buffered, stopped midway and stayed open: each kept a slot of the upstream until its deadline.

Cause: a gate starts a request when its head arrives, and a slot is given back only at the request's end. Class: a bound on work that a caller prolongs at will.

While attempts wait for a slot, the request whose body has stalled longest in one, a second at least, is ended as unknown. A request that ends so says nothing about its upstream, which was taken for lost before.

--- a/lab/tests/platform_callers.rs
+++ b/lab/tests/platform_callers.rs
@@ -3,7 +3,12 @@
 mod common;
 
 use {
-    common::{http_request, ready_host, start_host, status_code},
+    common::{
+        WAIT_TIMEOUT, configuration, http_request, ready_host, start_host,
+        start_host_with_capacity, status_code,
+    },
+    lab::stand_in::{Capacity, PlatformStandIn},
+    serde_json::json,
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
@@ -102,3 +107,35 @@
     assert!(timeout(READ_TIMEOUT, slot_released).await.is_ok(), "the slot is still occupied");
     drop(socket);
 }
+
+/// Guards against an upload that stalls and keeps the slot of its upstream until its deadline while others wait for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_upload_leaves_its_slot() {
+    let mut configuration = configuration("r7", "shop.example");
+    configuration["limits"]["max_body_bytes"] = json!(4 << 20);
+    for route in configuration["routes"]["rows"].as_array_mut().unwrap() {
+        route[4] = json!(60); // timeout_s
+    }
+    let store = PlatformStandIn::new();
+    store.write_as_operator("config", "main", configuration);
+    let host = start_host_with_capacity(store, Capacity { slots: 1, ..Capacity::default() }).await;
+    assert_eq!(host.send_heartbeat("i-1", "ready", 1, 100).await, 200);
+    host.wait_until("ready", async || host.readiness().await == 200).await;
+    let request = |path: &str, id: &str, length: usize| {
+        http_request("POST", path, id, &format!("content-length: {length}\r\n"))
+            .replace("-ms: 1200", "-ms: 60000")
+    };
+    let mut upload = TcpStream::connect(host.listen).await.unwrap();
+    upload.write_all(request("/letters/ok", "upload", 2 << 20).as_bytes()).await.unwrap();
+    upload.write_all(&vec![b'x'; 1 << 20]).await.unwrap();
+    let gate = &host.node.shared().admission.gate;
+    host.wait_until("the upload has the slot", async || gate.running() == 1).await;
+    let order = request("/orders/ok", "order", 0).replace("-ms: 60000", "-ms: 20000");
+    let response = host.send_raw(&order.replace("\r\n\r\n", "\r\nconnection: close\r\n\r\n")).await;
+    assert_eq!(status_code(&response), 200, "{response}");
+    let mut response = Vec::new();
+    let _ended = timeout(WAIT_TIMEOUT, upload.read_to_end(&mut response)).await.expect("no end");
+    let code = status_code(&String::from_utf8_lossy(&response));
+    assert!(matches!(code, 0 | 502 | 504), "{code}");
+    assert_eq!(host.upstream.executed().len(), 1);
+}
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -9,6 +9,7 @@
             cold_upstream::assume_cold,
             crash_detector::CrashDetector,
             queue_task::{QueueDecision, QueueItem, SlotGuard},
+            received_body::ReceivedBody,
             upstream_pool::{UpstreamConnection, UpstreamError, UpstreamPool},
             upstream_statements::{StatementSource, apply_statements},
         },
@@ -415,6 +416,9 @@
         let limit = remaining + UPSTREAM_DEADLINE_MARGIN;
         // The refusal of an attempt that has no connection in time arrives before the call's deadline.
         let connect_limit = remaining.saturating_sub(refusal_margin(remaining));
+        if !req.body().is_end_stream() {
+            req = req.map(|body| ReceivedBody::new(body, Arc::clone(shared)).boxed_unsync());
+        }
         let sent = pool.send_within(connect_limit, req, attempt.repeatable);
         let result = timeout(limit, sent).await;
         let elapsed = shared.now().since(started);
--- a/pistachiolane/src/node/gate/queue_task.rs
+++ b/pistachiolane/src/node/gate/queue_task.rs
@@ -14,6 +14,9 @@
 /// Interval between two checks for expired attempts while the queue is not empty.
 const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Least time without a byte of a body after which its request leaves its slot to those that wait.
+const MIN_BODY_STALL: Duration = Duration::from_secs(1);
+
 /// Decision on a queued attempt.
 #[derive(Debug)]
 pub enum QueueDecision {
@@ -108,6 +111,17 @@
             () = sleep(EXPIRY_CHECK_INTERVAL), if !queue.is_empty() => {}
         }
         decide_queued(&shared, &mut queue);
+        if !queue.is_empty() {
+            free_stalled_slot(&shared);
+        }
+    }
+}
+
+/// Ends the request whose body has stalled longest in its slot, because others wait for one.
+fn free_stalled_slot(shared: &Shared) {
+    let stalled = shared.slot_holders.longest_stalled(shared.now(), MIN_BODY_STALL);
+    if let Some(holder) = stalled.filter(|holder| holder.evict()) {
+        shared.record_eviction(&holder);
     }
 }
 
--- a/pistachiolane/src/node/gate/upstream_pool.rs
+++ b/pistachiolane/src/node/gate/upstream_pool.rs
@@ -148,6 +148,8 @@
             }
             // A connection that was not open in time says nothing about the upstream.
             Err(UpstreamError::Expired) => Err(UpstreamError::Expired),
+            // Nor does the end of the request's body.
+            Err(UpstreamError::Lost(e)) if e.is_user() => Err(UpstreamError::Lost(e)),
             Err(e) => {
                 (self.on_lost)(&e.to_string());
                 Err(e)
@@ -284,6 +286,9 @@
             let result = connection.await;
             let last_use = set_use(&used, ConnectionUse::Ended);
             match (result, last_use) {
+                (Err(e), _) if e.is_user() => {
+                    log::debug!(target: "upstream", "request to the upstream cut off: {e}");
+                }
                 (Err(e), _) => {
                     log::debug!(target: "upstream", "connection to the upstream failed: {e}");
                     on_lost(&e.to_string());
--- a/pistachiolane/src/node/shared.rs
+++ b/pistachiolane/src/node/shared.rs
@@ -14,7 +14,7 @@
         config::{LastRead, SettingsAge, SettingsTree},
         limits::{
             ServiceTimes, TokenBucket,
-            held::{ByteBudget, Holder},
+            held::{ByteBudget, Holder, Holders},
             shared::LimitTable,
         },
         metrics::Metrics,
@@ -112,6 +112,8 @@
     pub held_bytes: Arc<ByteBudget>,
     /// Log lines on holders that give way and bytes that are refused.
     pub memory_log: TokenBucket,
+    /// Attempts at the local upstream whose bodies still arrive.
+    pub slot_holders: Holders,
     /// Budget of load probes.
     pub probes: TokenBucket,
     /// Budget of bytes that are sent to other regions.
@@ -202,6 +204,7 @@
             attempt_sequence: AtomicU64::new(0),
             held_bytes,
             memory_log: TokenBucket::new(MEMORY_LOG_LINES_PER_SECOND, MEMORY_LOG_BURST),
+            slot_holders: Holders::default(),
             probes: TokenBucket::new(DEFAULT_PROBES_PER_SECOND, DEFAULT_PROBES_PER_SECOND),
             inter_region_bytes: TokenBucket::new(
                 DEFAULT_INTER_REGION_BYTES_PER_SECOND,
