Several requests at once on an HTTP/2 connection are answered

Callers that sent several requests at once on an HTTP/2 connection got 408 after their deadline: their bodies stopped arriving.

Cause: each request in progress reads the socket ahead, to notice that its caller leaves. The streams of an HTTP/2 connection have tasks of their own, and the last one to poll the socket took the notice of new bytes from the task of the connection.

Nothing reads ahead on an HTTP/2 connection any more; the HTTP library reports a stream that is reset.

http2_streams_at_once_are_all_answered: eight of eight got 408 before, 200 now.

--- a/lab/tests/platform_callers.rs
+++ b/lab/tests/platform_callers.rs
@@ -3,13 +3,19 @@
 mod common;
 
 use {
+    bytes::Bytes,
     common::{
         WAIT_TIMEOUT, configuration, http_request, ready_host, start_host,
         start_host_with_capacity, status_code,
     },
-    lab::stand_in::{Capacity, PlatformStandIn},
+    futures::stream::unfold,
+    http_body_util::StreamBody,
+    hyper::{Request, body::Frame, client::conn::http2},
+    hyper_util::rt::{TokioExecutor, TokioIo},
+    lab::stand_in::{Capacity, PLATFORM_REQUEST_ID, PlatformStandIn},
     serde_json::json,
     std::{
+        convert::Infallible,
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
@@ -17,6 +23,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        task::JoinSet,
         time::{sleep, timeout},
     },
 };
@@ -108,6 +115,36 @@
     drop(socket);
 }
 
+/// Guards against a stream of an HTTP/2 connection whose task takes the notice of new bytes from the connection's, which then
+/// waits for ever.
+#[tokio::test(flavor = "multi_thread")]
+async fn http2_streams_at_once_are_all_answered() {
+    let host = ready_host().await;
+    let socket = TokioIo::new(TcpStream::connect(host.listen).await.unwrap());
+    let (sender, connection) = http2::handshake(TokioExecutor::new(), socket).await.unwrap();
+    tokio::spawn(connection);
+    let mut requests = JoinSet::new();
+    for n in 0..8 {
+        let request = Request::post("http://shop.example/letters/ok")
+            .header(PLATFORM_REQUEST_ID, format!("stream-{n}"))
+            .header("x-pistachiolane-deadline-ms", "10000");
+        // Ten pieces, each some time after the one before.
+        let body = unfold(0, |sent| async move {
+            sleep(Duration::from_millis(20)).await;
+            let piece = Frame::data(Bytes::from(vec![b'x'; 8_000]));
+            (sent < 10).then_some((Ok::<_, Infallible>(piece), sent + 1))
+        });
+        let request = request.body(StreamBody::new(Box::pin(body))).unwrap();
+        let mut sender = sender.clone();
+        requests.spawn(async move {
+            let response = timeout(WAIT_TIMEOUT, sender.send_request(request)).await;
+            response.expect("no response").unwrap().status().as_u16()
+        });
+    }
+    assert_eq!(requests.join_all().await, [200; 8]);
+    assert!(host.upstream.executed().iter().all(|r| r.body.len() == 80_000));
+}
+
 /// Guards against an upload that stalls and keeps the slot of its upstream until its deadline while others wait for it.
 #[tokio::test(flavor = "multi_thread")]
 async fn stalled_upload_leaves_its_slot() {
--- a/pistachiolane/src/node/entry/caller_socket.rs
+++ b/pistachiolane/src/node/entry/caller_socket.rs
@@ -39,6 +39,9 @@
 /// Size of one read from the socket in bytes.
 const READ_BYTES: usize = 4 << 10;
 
+/// Start of an HTTP/2 connection.
+const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n";
+
 /// Most headers of a request that is parsed ahead; one with more is left to the HTTP server.
 const MAX_HEADERS: usize = 64;
 
@@ -58,6 +61,8 @@
     new_heads: VecDeque<RequestHead>,
     /// Whether all further bytes go to the HTTP server without being parsed here.
     passthrough: bool,
+    /// Whether the connection is an HTTP/2 one.
+    is_http2: bool,
     /// How reading ended: `Ok` at the end of the stream, `Err` on an error.
     ended: Option<io::Result<()>>,
     /// Time limit from the first byte of a head to its last.
@@ -98,6 +103,7 @@
             request_lengths: VecDeque::new(),
             new_heads: VecDeque::new(),
             passthrough: false,
+            is_http2: false,
             ended: None,
             head_timeout,
             head_timer: None,
@@ -132,6 +138,10 @@
                 if inner.ended.is_some() {
                     return Poll::Ready(None);
                 }
+                // Its streams have tasks of their own, and only the connection's may wait for the socket.
+                if inner.is_http2 {
+                    return Poll::Pending;
+                }
                 if inner.buffer.len() >= MAX_LOOKAHEAD_BYTES {
                     return Poll::Pending;
                 }
@@ -191,15 +201,15 @@
                 self.passthrough = rest.len() >= MAX_LOOKAHEAD_BYTES / 2;
                 return;
             };
-            match scanned {
-                Ok((length, head)) => {
-                    self.scanned += length;
-                    self.request_lengths.push_back(length);
-                    self.new_heads.push_back(head);
-                    self.head_timer = None;
-                }
-                Err(Passthrough) => self.passthrough = true,
-            }
+            let Ok((length, head)) = scanned else {
+                self.is_http2 = rest.starts_with(HTTP2_PREFACE);
+                self.passthrough = true;
+                return;
+            };
+            self.scanned += length;
+            self.request_lengths.push_back(length);
+            self.new_heads.push_back(head);
+            self.head_timer = None;
         }
     }
 
