A response without a final status is a failure

An answer with a status from 600 to 999 reached its caller as it was. 000, 099, 1000, letters, none, a negative one and an unasked 101 did not: the HTTP library rejects the first ones, and 101 got 502.

Cause: the gate checked signature and id of a response, not its status, and the library accepts three digits from 100 on.

A status outside 200 to 599 now counts as a failed attempt whose outcome is unknown, 101 explicitly so.

response_without_a_final_status_is_a_failure, near and far, idempotent and not: failed with status 600 before and holds now; the statuses reported to us held before as well.

--- a/lab/tests/platform_faulty_upstreams.rs
+++ b/lab/tests/platform_faulty_upstreams.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use {
-    common::{TestHost, ready_host, status_code},
+    common::{TestHost, ready_host, start_host, status_code},
     lab::stand_in::PLATFORM_REQUEST_ID,
+    std::sync::Arc,
     test_case::test_case,
 };
 
@@ -54,3 +55,33 @@
         }
     }
 }
+
+/// Guards against a status that is none, or that nobody asked for, and reaches the caller as that of its answer.
+#[test_case("GET", "sizing", true; "idempotent near")]
+#[test_case("GET", "sizing", false; "idempotent far")]
+#[test_case("POST", "orders", true; "non idempotent near")]
+#[test_case("POST", "orders", false; "non idempotent far")]
+#[tokio::test(flavor = "multi_thread")]
+async fn response_without_a_final_status_is_a_failure(method: &str, route: &str, is_near: bool) {
+    let serving = ready_host().await;
+    let far = if is_near { None } else { Some(start_host(Arc::clone(&serving.store)).await) };
+    let entry = far.as_ref().unwrap_or(&serving);
+    entry
+        .wait_until("served", async || {
+            status_code(&entry.send_request("GET", "/sizing/ok", "first").await) == 200
+        })
+        .await;
+    for status in ["000", "099", "1000", "abc", "", "-20", "101", "600", "777", "999"] {
+        for n in 0..2 {
+            let id = format!("s{status}-{n}");
+            let path = format!("/{route}/status-{status}");
+            let response = entry.send_request(method, &path, &id).await;
+            let is_failure = matches!(status_code(&response), 502 | 504);
+            assert!(is_failure, "status `{status}`: {response}");
+            assert!(!response.contains("odd"), "status `{status}`: {response}");
+            assert!(method == "GET" || runs_of(&serving, &id) == 1, "status `{status}`");
+            let next = entry.send_request("GET", "/sizing/ok", "next").await;
+            assert!(next.ends_with("answer to next"), "after status `{status}`: {next}");
+        }
+    }
+}
--- a/pistachiolane/src/node/gate/gate_server.rs
+++ b/pistachiolane/src/node/gate/gate_server.rs
@@ -42,6 +42,7 @@
     std::{
         convert::Infallible,
         net::SocketAddr,
+        ops::RangeInclusive,
         sync::{
             Arc,
             atomic::{AtomicBool, Ordering},
@@ -78,6 +79,9 @@
 /// The upstream itself responds at the deadline, and an entry cancels its attempt when the call ends.
 const UPSTREAM_DEADLINE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Statuses of final responses. The HTTP library also accepts larger numbers, and 101 for an upgrade.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Depth of nested calls that is assumed for a request without a depth header.
 const DEFAULT_DEPTH: u64 = 0;
 
@@ -541,6 +545,9 @@
         if request_id.is_some() && echoed.is_some() && echoed != request_id {
             return ResponseKind::Mismatched("response to another request");
         }
+        if !FINAL_STATUSES.contains(&res.status().as_u16()) {
+            return ResponseKind::Mismatched("response without a final status");
+        }
         if dialect.expected_instance.is_some() && res.status() == StatusCode::MISDIRECTED_REQUEST {
             log::info!(
                 target: "upstream", instance = announced.instance.as_str();
