A body that moves again does not give way to itself

A body whose bytes arrive after a pause could be the one that had stalled longest when it asked for more memory, and so end itself although it moves. Found by reading; its progress is recorded before it asks. The rule is tested in virtual time (take_spares_body_that_moves_again); the order of the two calls in the entry has no test of its own.

--- a/pistachiolane/src/limits/held/lease.rs
+++ b/pistachiolane/src/limits/held/lease.rs
@@ -41,11 +41,6 @@
     pub fn holder(&self) -> &Holder {
         &self.holder
     }
-
-    /// Gives all bytes back; the lease can be used on.
-    pub fn clear(&self) {
-        self.budget.give_back(&self.holder);
-    }
 }
 
 impl Drop for Lease {
--- a/pistachiolane/src/node/entry/body_buffer.rs
+++ b/pistachiolane/src/node/entry/body_buffer.rs
@@ -58,6 +58,8 @@
     /// # Errors
     /// Fails if the budget of the process is used up.
     pub async fn push(&mut self, data: &[u8], shared: &Shared) -> Result<(), NoRoom> {
+        // Before bytes are taken, or a body that comes slowly would give way to itself.
+        self.lease.holder().record_progress(shared.now());
         let missing = (self.bytes.len() + data.len()).saturating_sub(self.bytes.capacity());
         if missing > 0 {
             let growth = missing.max(MIN_GROWTH_BYTES).max(self.bytes.len() / 4);
--- a/pistachiolane/tests/held_bytes.rs
+++ b/pistachiolane/tests/held_bytes.rs
@@ -73,6 +73,18 @@
     assert!(bodies.iter().all(|body| !body.holder().was_evicted()));
 }
 
+/// A body whose bytes arrive after a long pause does not give way to itself.
+#[test]
+fn take_spares_body_that_moves_again() {
+    let budget = budget();
+    let bodies = fill(&budget, at(0));
+    bodies[0].holder().record_progress(at(9_000));
+    let Grant::Pending(Some(_)) = bodies[0].take(BODY, at(9_000)) else {
+        panic!("no holder gives way");
+    };
+    assert!(!bodies[0].holder().was_evicted() && bodies[1].holder().was_evicted());
+}
+
 /// Bodies whose requests run don't give way however long that takes.
 #[test]
 fn take_spares_requests_in_progress() {
